Add the design, the core types and the build

Cause: nothing existed. Ruled out: leases in the store for failover (they need clocks and a store that is up); one owner for a whole group (each read crosses failure domains); fixed shares of slots (below one slot a host at today's sizes).

--- /dev/null
+++ b/core/ids.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+#include "core/strong_type.h"
+
+namespace teaselrudder {
+
+/// Name of one host of this system, unique in the fleet.
+using HostId = StrongType<struct HostIdTag, std::string>;
+/// Name of a failure domain.
+using FailureDomainId = StrongType<struct FailureDomainIdTag, std::string>;
+/// Name of a database group.
+using GroupId = StrongType<struct GroupIdTag, std::string>;
+/// Name of a member (an upstream), unique in its group.
+using MemberId = StrongType<struct MemberIdTag, std::string>;
+/// Name of a service that callers address.
+using ServiceName = StrongType<struct ServiceNameTag, std::string>;
+/// Identifies one request of a caller across hosts and retries.
+using RequestId = StrongType<struct RequestIdTag, std::string>;
+/// Handle of an open transaction, as callers see it.
+using TransactionHandle = StrongType<struct TransactionHandleTag, std::string>;
+
+/// One connection from this host to an upstream. Never reused within a process.
+using ConnectionId = StrongType<struct ConnectionIdTag, std::uint64_t>;
+/// One operation on an upstream connection.
+using OperationId = StrongType<struct OperationIdTag, std::uint64_t>;
+/// One request that a caller has open at this host.
+using CallerRequestId = StrongType<struct CallerRequestIdTag, std::uint64_t>;
+/// One call to or from another host.
+using PeerCallId = StrongType<struct PeerCallIdTag, std::uint64_t>;
+/// One call to the platform's store.
+using StoreCallId = StrongType<struct StoreCallIdTag, std::uint64_t>;
+/// One watch on the platform's store.
+using WatchId = StrongType<struct WatchIdTag, std::uint64_t>;
+
+/// Version of the configuration; grows by one with each accepted change.
+using ConfigurationVersion = StrongType<struct ConfigurationVersionTag, std::uint64_t>;
+/// Distinguishes successive lives of a host; a restart gets a higher value.
+using Incarnation = StrongType<struct IncarnationTag, std::uint64_t>;
+/// Revision of the platform's store.
+using StoreRevision = StrongType<struct StoreRevisionTag, std::int64_t>;
+
+/// An IP address in numbers and a TCP port.
+struct Endpoint {
+  std::string ip;
+  std::uint16_t port = 0;
+
+  friend bool operator==(const Endpoint&, const Endpoint&) = default;
+  friend auto operator<=>(const Endpoint&, const Endpoint&) = default;
+};
+
+}  // namespace teaselrudder
--- /dev/null
+++ b/misc/cmake/embed_charts.cmake
@@ -0,0 +1,12 @@
+# Writes ${OUTPUT}, which holds every chart of ${CHART_DIR} as a string literal.
+file(GLOB CHARTS ${CHART_DIR}/*.scxml)
+list(SORT CHARTS)
+set(CONTENT "#include \"core/chart/compiled_charts.h\"\n\nnamespace teaselrudder {\n\n")
+string(APPEND CONTENT "std::string_view compiled_chart([[maybe_unused]] std::string_view name) {\n")
+foreach(CHART ${CHARTS})
+  get_filename_component(NAME ${CHART} NAME_WE)
+  file(READ ${CHART} TEXT)
+  string(APPEND CONTENT "  if (name == \"${NAME}\") {\n    return R\"chart(${TEXT})chart\";\n  }\n")
+endforeach()
+string(APPEND CONTENT "  return {};\n}\n\n}  // namespace teaselrudder\n")
+file(WRITE ${OUTPUT} "${CONTENT}")
--- /dev/null
+++ b/misc/scripts/check_style.sh
@@ -0,0 +1,16 @@
+#!/usr/bin/env bash
+# Runs the formatter and the linter over the project's own code. FIX=1 formats in place instead of reporting.
+# BUILD_DIR names a configured build folder (default build), which has the compile commands.
+set -euo pipefail
+cd "$(dirname "$0")/../.."
+
+build_dir=${BUILD_DIR:-build}
+mapfile -t sources < <(git ls-files --cached --others --exclude-standard -- '*.cc' '*.h')
+if [ "${FIX:-0}" = 1 ]; then
+  clang-format -i "${sources[@]}"
+else
+  clang-format --dry-run --Werror "${sources[@]}"
+fi
+mapfile -t units < <(git ls-files --cached --others --exclude-standard -- '*.cc')
+printf '%s\0' "${units[@]}" | xargs -0 -P "${JOBS:-$(nproc)}" -n 1 clang-tidy --quiet -p "$build_dir" 2>/dev/null
+echo "style: ${#sources[@]} files clean"
