--- /dev/null
+++ b/servers/group/database_group.h
@@ -0,0 +1,95 @@
+#pragma once
+
+#include <cstddef>
+#include <memory>
+#include <optional>
+#include <vector>
+
+#include "core/chart/state_chart.h"
+#include "core/config/configuration.h"
+#include "core/ids.h"
+#include "core/log_point.h"
+#include "core/member_status.h"
+#include "core/ports/upstream_port.h"
+#include "core/time.h"
+#include "servers/group/group_action.h"
+#include "tl/expected.hpp"
+
+namespace teaselrudder {
+
+/// One database group as one of its owners sees it: monitors the members, replaces a lost primary, confirms writes and
+/// fresh reads, and samples positions for bounded staleness.
+///
+/// Each method may add actions, which take_actions() hands over. Results of actions may be late, lost or duplicated.
+class DatabaseGroup {
+ public:
+  /// `chart` is the chart `database_group`, loaded with the names in group_state.h. The first probes are due at `now`.
+  DatabaseGroup(GroupConfiguration configuration, HostId self, GroupTimings timings,
+                std::shared_ptr<const StateChart> chart, TimePoint now);
+
+  /// Takes over the group's members. Views of remaining members are kept.
+  void update_configuration(GroupConfiguration configuration, TimePoint now);
+
+  /// Sets the place of this host in the sorted list of the group's `count` owners; `rank` begins at 0.
+  void update_owners(std::size_t rank, std::size_t count, TimePoint now);
+
+  /// Does what is due at `now`. `random` is uniform in [0, 1).
+  void on_tick(double random, TimePoint now);
+
+  /// Takes the answer to a probe. An answer to any but the outstanding probe of `member` is ignored.
+  void on_probe_report(const MemberId& member, ProbeId probe, const MemberStatus& status, TimePoint now);
+
+  /// Takes the failure of a probe, including that of its connection. The next probe asks for a new connection.
+  void on_probe_failed(const MemberId& member, ProbeId probe, TimePoint now);
+
+  /// Takes a status that came with a caller's operation; `requested_at` is a time before the operation was sent.
+  void on_operation_report(const MemberId& member, const MemberStatus& status, TimePoint requested_at, TimePoint now);
+
+  void on_raise_result(const MemberId& member, Term term, tl::expected<GrantResult, UpstreamError> result,
+                       TimePoint now);
+  void on_promote_result(const MemberId& member, Term term, tl::expected<GrantResult, UpstreamError> result,
+                         TimePoint now);
+  void on_follow_result(const MemberId& member, Term term, tl::expected<GrantResult, UpstreamError> result,
+                        TimePoint now);
+
+  /// Takes the answers to AskSuspicion for `term`: of `answered` other owners, `suspecting` suspect the member.
+  /// `highest_known` is the highest term that any of them knows. Neither count includes this host.
+  void on_suspicion_replies(Term term, std::size_t answered, std::size_t suspecting, Term highest_known, TimePoint now);
+
+  /// Begins to confirm `point`, which must come from the status that the primary returned with the operation, after
+  /// that status was passed to on_operation_report(). One ConfirmationDone follows unless it is cancelled.
+  ConfirmationId confirm(const LogPoint& point, TimePoint deadline, TimePoint now);
+
+  /// Ends a confirmation without ConfirmationDone.
+  void cancel_confirmation(ConfirmationId confirmation);
+
+  /// Returns the actions added since the last call, in order.
+  std::vector<GroupAction> take_actions();
+
+  /// Returns the time at which on_tick() is due next.
+  TimePoint next_wakeup() const;
+
+  /// Returns the recognised primary, or nothing while there is none or while it is being replaced.
+  std::optional<PrimaryView> primary() const;
+
+  /// Answers another owner's suspicion query. False if this host hears a live primary that is `member` or leads in
+  /// `term` or a later one.
+  bool suspects(const MemberId& member, Term term, TimePoint now) const;
+
+  /// Tells whether a majority of the members reported within the suspicion timeout.
+  bool majority_reachable(TimePoint now) const;
+
+  /// Returns the highest term that any member or owner has reported.
+  Term highest_known_term() const;
+
+  /// Returns the last status of `member` and when it was requested, or null if it never reported.
+  const MemberView* find_member(const MemberId& member) const;
+
+  /// Returns the valid samples in ascending order of `requested_at`.
+  const std::vector<FreshnessSample>& samples() const;
+
+  /// Returns the group's configuration.
+  const GroupConfiguration& configuration() const;
+};
+
+}  // namespace teaselrudder
