Declare the scheduling interfaces

Ruled out: a second result type for displaced items; take_expired() returns them together with the expired ones, so that each queued item leaves through exactly one call.

--- /dev/null
+++ b/servers/scheduling/member_queue.h
@@ -0,0 +1,181 @@
+#pragma once
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <unordered_map>
+#include <vector>
+
+#include "core/refusal.h"
+#include "core/request.h"
+#include "core/strong_type.h"
+#include "core/time.h"
+#include "tl/expected.hpp"
+
+namespace teaselrudder {
+
+/// One piece of work for a member. Never reused within a process.
+using WorkId = StrongType<struct WorkIdTag, std::uint64_t>;
+
+/// Work that waits for a slot of a member.
+struct QueuedWork {
+  WorkId id;
+  Urgency urgency = Urgency::kNormal;
+  /// Expected time in the slot, from DurationEstimator.
+  Duration expected{0};
+  /// True if the work is expected to take much longer than the member's median.
+  bool is_long = false;
+  /// True for a statement of an open transaction, which goes ahead of new work of the same urgency.
+  bool in_transaction = false;
+  /// When the caller no longer needs the answer.
+  TimePoint deadline;
+};
+
+/// Bounds of a member's queue.
+struct QueueLimits {
+  /// Work that runs on the member at once.
+  std::uint32_t slots = 3;
+  /// Work that waits at once, running work not counted.
+  std::size_t max_queue = 512;
+  /// Newer work of the same urgency overtakes waiting work only if it arrived within this time after it.
+  Duration ageing_interval = std::chrono::seconds(1);
+};
+
+/// Why work was not queued. The work did not run.
+struct QueueRefusal {
+  /// kQueueFull, kQueueDeadline, or kInternal for an id that is already queued or running.
+  RefusalReason reason = RefusalReason::kInternal;
+  /// Time from now until the queue is expected to be short enough.
+  Duration retry_after{0};
+};
+
+/// The queue of one member: decides what runs next and refuses what cannot run before its deadline.
+///
+/// Urgencies share the slot time with weights 16, 4 and 1. Within an urgency the shortest expected duration goes first,
+/// and waiting time counts in favour of work. Call take_expired() after enqueue() and whenever next_deadline() passes:
+/// each queued item is returned exactly once, by start_next(), remove() or take_expired().
+class MemberQueue {
+ public:
+  explicit MemberQueue(QueueLimits limits);
+
+  /// Changes the number of slots. Running work keeps its slot; zero slots start nothing.
+  void set_slots(std::uint32_t slots);
+
+  /// Queues work, or refuses it if the queue is at its bound or the work is not expected to finish before its deadline.
+  /// Urgent work that meets a full queue displaces the last background item, which take_expired() then returns.
+  tl::expected<void, QueueRefusal> enqueue(const QueuedWork& work, TimePoint now);
+
+  /// Takes a slot for the next item and returns it, or nothing if no slot is free or no item may start. Call until it
+  /// returns nothing.
+  std::optional<WorkId> start_next(TimePoint now);
+
+  /// Frees the slot of running work; unknown ids are ignored.
+  void finish(WorkId id, TimePoint now);
+
+  /// Takes out a queued item whose caller left. Returns false if the item is not queued; running work stays.
+  bool remove(WorkId id);
+
+  /// Takes out and returns the items that will not run: those past their deadline and those displaced by urgent work.
+  std::vector<WorkId> take_expired(TimePoint now);
+
+  /// Returns how long new short work of `urgency` is expected to wait behind everything that is queued.
+  Duration expected_wait(Urgency urgency, TimePoint now) const;
+
+  /// Returns the earliest deadline of a queued item, or nothing if the queue is empty.
+  std::optional<TimePoint> next_deadline() const;
+
+  /// Returns the number of items that wait.
+  std::size_t queued() const { return m_items.size(); }
+
+  /// Returns the number of items that hold a slot.
+  std::size_t running() const { return m_running.size(); }
+
+ private:
+  static constexpr std::size_t kUrgencyCount = 3;
+
+  /// Place in the order within one urgency: ascending rank, then order of arrival.
+  struct Place {
+    TimePoint rank;
+    std::uint64_t sequence = 0;
+    WorkId id;
+
+    friend auto operator<=>(const Place&, const Place&) = default;
+  };
+
+  /// The four orders of one urgency; long work is kept apart because it may have to let short work pass.
+  enum Lane : std::uint8_t { kTransactionShort, kTransactionLong, kNewShort, kNewLong };
+  static constexpr std::size_t kLaneCount = 4;
+
+  struct Item {
+    QueuedWork work;
+    Place place;
+    /// The item cannot finish before its deadline if the estimate holds; it only fills an otherwise idle slot.
+    bool late = false;
+  };
+
+  struct Running {
+    Urgency urgency = Urgency::kNormal;
+    Duration expected{0};
+    bool is_long = false;
+    TimePoint started_at;
+  };
+
+  struct UrgencyClass {
+    std::array<std::set<Place>, kLaneCount> lanes;
+    std::array<std::set<Place>, kLaneCount> late_lanes;
+    /// Slot time used, multiplied by the inverse of the weight.
+    Duration pass{0};
+    /// The same measure for the expected slot time of running work.
+    Duration running_pass{0};
+    /// Transaction statements started in a row while new work waited.
+    std::uint32_t transaction_run = 0;
+  };
+
+  struct Candidate {
+    Urgency urgency = Urgency::kNormal;
+    Lane lane = kNewShort;
+    Place place;
+  };
+
+  static Lane lane_of(const QueuedWork& work);
+  UrgencyClass& class_of(Urgency urgency) { return m_classes[static_cast<std::size_t>(urgency)]; }
+  const UrgencyClass& class_of(Urgency urgency) const { return m_classes[static_cast<std::size_t>(urgency)]; }
+
+  TimePoint rank_of(const QueuedWork& work, TimePoint now) const;
+  Duration calibrated(Duration expected) const;
+  Duration remaining(const Running& running, TimePoint now) const;
+  std::uint32_t max_long() const;
+  std::size_t running_long(TimePoint now) const;
+
+  /// Expected time until `work_ahead` of slot time has been worked off and a slot is free.
+  Duration drain_time(Duration work_ahead, bool long_only, TimePoint now) const;
+  Duration wait_of(const QueuedWork& work, const Place& place, TimePoint now) const;
+  Duration work_of_others(Urgency urgency, Duration own) const;
+  Duration queued_work(Urgency urgency) const;
+  bool displace_background();
+
+  void move_late_items(UrgencyClass& urgency_class, TimePoint now);
+  std::optional<Lane> first_lane(const std::array<std::set<Place>, kLaneCount>& lanes, bool long_allowed,
+                                 std::uint32_t transaction_run) const;
+  std::optional<Candidate> choose_on_time(bool long_allowed, TimePoint now);
+  std::optional<Candidate> choose_late(bool long_allowed) const;
+  void start(const Candidate& candidate, TimePoint now);
+  void erase(WorkId id);
+
+  QueueLimits m_limits;
+  std::array<UrgencyClass, kUrgencyCount> m_classes;
+  std::unordered_map<WorkId, Item> m_items;
+  std::set<std::pair<TimePoint, WorkId>> m_deadlines;
+  std::map<WorkId, Running> m_running;
+  std::vector<WorkId> m_displaced;
+  Duration m_virtual_time{0};
+  std::uint64_t m_next_sequence = 0;
+  /// Moving sums of actual and expected durations; their quotient corrects estimates that are wrong on the whole.
+  double m_actual_sum = 0;
+  double m_expected_sum = 0;
+};
+
+}  // namespace teaselrudder
