--- a/core/session/session_token.cc
+++ b/core/session/session_token.cc
@@ -1,15 +1,12 @@
 #include "core/session/session_token.h"
 
-#include <openssl/crypto.h>
-#include <openssl/evp.h>
-#include <openssl/hmac.h>
-
-#include <array>
-#include <charconv>
 #include <cstdint>
 #include <optional>
 #include <vector>
 
+#include "core/parse_number.h"
+#include "core/session/signature.h"
+
 namespace teaselrudder {
 
 namespace {
@@ -17,19 +14,6 @@
 constexpr std::string_view kFormat = "t1";
 constexpr char kSeparator = '~';  // Does not occur in names.
 constexpr std::size_t kFieldCount = 7;
-constexpr std::size_t kSignatureBytes = 16;
-constexpr std::size_t kSignatureDigits = 2 * kSignatureBytes;
-
-std::string to_hex(const unsigned char* bytes, std::size_t count) {
-  constexpr std::string_view kDigits = "0123456789abcdef";
-  std::string text;
-  text.reserve(2 * count);
-  for (std::size_t index = 0; index < count; ++index) {
-    text += kDigits[bytes[index] >> 4U];
-    text += kDigits[bytes[index] & 0x0FU];
-  }
-  return text;
-}
 
 std::vector<std::string_view> split_fields(std::string_view text) {
   std::vector<std::string_view> fields;
@@ -43,16 +27,6 @@
   }
 }
 
-std::optional<std::uint64_t> parse_number(std::string_view text) {
-  std::uint64_t number = 0;
-  const char* const end = text.data() + text.size();
-  const auto result = std::from_chars(text.data(), end, number);
-  if (result.ec != std::errc() || result.ptr != end) {
-    return std::nullopt;
-  }
-  return number;
-}
-
 }  // namespace
 
 std::string SessionTokenCodec::encode(const ServiceName& service, const GroupId& group,
@@ -63,7 +37,7 @@
   payload += kSeparator + std::to_string(position.point.term.value());
   payload += kSeparator + std::to_string(position.point.position.value());
   payload += kSeparator + std::string(position.uncertain ? "1" : "0");
-  return payload + kSeparator + sign(payload);
+  return payload + kSeparator + sign_text(m_key, payload);
 }
 
 tl::expected<SessionPosition, SessionTokenError> SessionTokenCodec::decode(std::string_view token,
@@ -79,14 +53,14 @@
   if (fields.size() != kFieldCount || fields[0] != kFormat || fields[6].size() != kSignatureDigits) {
     return tl::unexpected(SessionTokenError::kMalformed);
   }
-  const std::optional<std::uint64_t> term = parse_number(fields[3]);
-  const std::optional<std::uint64_t> position = parse_number(fields[4]);
+  const std::optional<std::uint64_t> term = parse_unsigned(fields[3]);
+  const std::optional<std::uint64_t> position = parse_unsigned(fields[4]);
   const bool flag_known = fields[5] == "0" || fields[5] == "1";
   if (!term.has_value() || !position.has_value() || !flag_known) {
     return tl::unexpected(SessionTokenError::kMalformed);
   }
-  const std::string expected = sign(token.substr(0, token.size() - kSignatureDigits - 1));
-  if (CRYPTO_memcmp(expected.data(), fields[6].data(), kSignatureDigits) != 0) {
+  const std::string_view payload = token.substr(0, token.size() - kSignatureDigits - 1);
+  if (!signatures_equal(sign_text(m_key, payload), fields[6])) {
     return tl::unexpected(SessionTokenError::kAltered);
   }
   if (fields[1] != service.value() || fields[2] != group.value()) {
@@ -95,12 +69,4 @@
   return SessionPosition{{Term(*term), LogPosition(*position)}, fields[5] == "1"};
 }
 
-std::string SessionTokenCodec::sign(std::string_view payload) const {
-  std::array<unsigned char, EVP_MAX_MD_SIZE> digest{};
-  unsigned int length = 0;
-  HMAC(EVP_sha256(), m_key.data(), static_cast<int>(m_key.size()),
-       reinterpret_cast<const unsigned char*>(payload.data()), payload.size(), digest.data(), &length);
-  return to_hex(digest.data(), kSignatureBytes);
-}
-
 }  // namespace teaselrudder
--- a/core/session/session_token.h
+++ b/core/session/session_token.h
@@ -32,8 +32,6 @@
                                                           const GroupId& group) const;
 
  private:
-  std::string sign(std::string_view payload) const;
-
   std::string m_key;
 };
 
--- /dev/null
+++ b/servers/host/charts.cc
@@ -0,0 +1,75 @@
+#include "servers/host/charts.h"
+
+#include "core/chart/compiled_charts.h"
+#include "servers/group/group_state.h"
+
+namespace teaselrudder {
+
+namespace {
+
+using Names = std::vector<std::string>;
+
+const Names& connection_states() {
+  static const Names names = {"opening", "idle", "checking", "busy", "closed"};
+  return names;
+}
+
+const Names& connection_events() {
+  static const Names names = {"opened", "acquired", "checked", "released", "lost"};
+  return names;
+}
+
+const Names& request_states() {
+  static const Names names = {"routing", "waiting", "forwarded", "executing", "confirming", "settling", "finished"};
+  return names;
+}
+
+const Names& request_events() {
+  static const Names names = {"route", "wait", "forward", "enqueue", "confirm", "settle", "finish"};
+  return names;
+}
+
+const Names& stop_states() {
+  static const Names names = {"serving", "announcing", "draining", "stopped"};
+  return names;
+}
+
+const Names& stop_events() {
+  static const Names names = {"stop_ordered", "announced", "drained", "deadline_passed"};
+  return names;
+}
+
+// Loads one chart into `slot`; returns the error, if any.
+std::optional<std::string> load_into(std::shared_ptr<const StateChart>& slot, const ChartSource& source,
+                                     std::string_view name, const Names& states, const Names& events) {
+  auto chart = StateChart::load(name, source.chart_text(name), states, events);
+  if (!chart.has_value()) {
+    return chart.error();
+  }
+  slot = std::make_shared<const StateChart>(std::move(*chart));
+  return std::nullopt;
+}
+
+}  // namespace
+
+std::string CompiledChartSource::chart_text(std::string_view name) const { return std::string(compiled_chart(name)); }
+
+tl::expected<HostCharts, std::string> load_host_charts(const ChartSource& source) {
+  HostCharts charts;
+  auto error = load_into(charts.connection, source, "upstream_connection", connection_states(), connection_events());
+  if (!error.has_value()) {
+    error = load_into(charts.request, source, "request", request_states(), request_events());
+  }
+  if (!error.has_value()) {
+    error = load_into(charts.stop, source, "planned_stop", stop_states(), stop_events());
+  }
+  if (!error.has_value()) {
+    error = load_into(charts.group, source, "database_group", group_state_names(), group_event_names());
+  }
+  if (error.has_value()) {
+    return tl::unexpected(*error);
+  }
+  return charts;
+}
+
+}  // namespace teaselrudder
--- /dev/null
+++ b/servers/host/entry_host.cc
@@ -0,0 +1,451 @@
+#include "servers/host/entry_host.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "core/config/configuration_json.h"
+#include "core/overloaded.h"
+#include "servers/host/request_resolver.h"
+
+namespace teaselrudder {
+
+namespace {
+
+constexpr Duration kProbeCheckInterval = std::chrono::milliseconds(200);
+constexpr Duration kHostListInterval = std::chrono::seconds(5);
+constexpr Duration kConfigurationFetchTimeout = std::chrono::seconds(2);
+
+}  // namespace
+
+EntryHost::EntryHost(const HostSettings& settings, HostPorts ports, HostCharts charts, Counters& counters,
+                     TimePoint now)
+    : m_context{settings, ports, std::move(charts), counters, IdSource(), RandomSequence(settings.random_seed)},
+      m_hosts(settings.self, settings.host_table_timings, settings.random_seed),
+      m_groups(m_context, m_hosts),
+      m_requests(m_context, m_groups, *this),
+      m_stop(m_context),
+      m_tokens(settings.token_key),
+      m_next_probe_check(now),
+      m_next_host_list(now) {}
+
+bool EntryHost::adopt_configuration(const Configuration& configuration, const std::string& source, TimePoint now) {
+  // A version is never replaced by a lower or an equal one, wherever it comes from.
+  if (configuration.version <= m_configuration.version) {
+    return false;
+  }
+  m_configuration = configuration;
+  m_groups.apply_configuration(m_configuration, now);
+  m_context.counters.count("configurations_adopted");
+  note_decision(m_context.settings.self.host.value(),
+                "configuration_version_" + std::to_string(configuration.version.value()), "received from " + source,
+                now);
+  if (m_configuration.draining_hosts.contains(m_context.settings.self.host)) {
+    stop("an operator drains this host", now);
+  }
+  settle_events(now);
+  return true;
+}
+
+void EntryHost::add_known_host(const HostRecord& record, TimePoint now) {
+  if (m_hosts.merge(record, now)) {
+    hosts_changed("settings", now);
+  }
+}
+
+void EntryHost::stop(const std::string& cause, TimePoint now) {
+  m_hosts.leave(now);
+  m_stop.order(cause, now);
+  hosts_changed(cause, now);
+  // The other hosts learn at once that this one leaves, so that they stop sending it work.
+  for (const HostRecord& record : m_hosts.all_records()) {
+    if (record.host != m_context.settings.self.host && record.state == HostState::kAlive) {
+      call_peer(record, Probe{m_hosts.self(), m_configuration.version, {m_hosts.self()}},
+                m_context.settings.host_table_timings.probe_timeout, ProbeCall{record.host});
+    }
+  }
+}
+
+void EntryHost::on_tick(TimePoint now) {
+  m_groups.on_tick(now);
+  m_requests.on_tick(now);
+  if (now >= m_next_probe_check) {
+    m_next_probe_check = now + kProbeCheckInterval;
+    probe_hosts(now);
+  }
+  if (now >= m_next_host_list) {
+    m_next_host_list = now + kHostListInterval;
+    m_context.ports.host_list.fetch_host_list();
+  }
+  settle_events(now);
+  m_stop.on_tick(open_work(), now);
+}
+
+TimePoint EntryHost::next_wakeup() const {
+  TimePoint earliest = std::min(m_next_probe_check, m_next_host_list);
+  const auto consider = [&earliest](const std::optional<TimePoint>& due) {
+    if (due.has_value()) {
+      earliest = std::min(earliest, *due);
+    }
+  };
+  consider(m_groups.next_wakeup());
+  consider(m_requests.next_wakeup());
+  consider(m_stop.next_wakeup());
+  return earliest;
+}
+
+void EntryHost::on_caller_request(CallerRequestId id, Request request, TimePoint now) {
+  const RequestId generated = generate_request_id();
+  const RequestId request_id = request.request_id.value_or(generated);
+  const bool continues = request.step != TransactionStep::kNone && request.step != TransactionStep::kBegin;
+  // An open transaction may finish during a stop; nothing else is admitted.
+  if (!m_stop.admits() && !continues) {
+    Refusal refusal = make_refusal(RefusalReason::kStopping, Ran::kNo, "the host is stopping");
+    refusal.retry_after = Duration::zero();
+    refuse_caller(id, std::move(refusal), request_id, request.token);
+    return;
+  }
+  auto envelope = resolve_request(request, m_configuration, m_tokens, generated);
+  if (!envelope.has_value()) {
+    refuse_caller(id, envelope.error(), request_id, std::string());
+    return;
+  }
+  std::size_t& in_flight = m_in_flight[envelope->service];
+  if (in_flight >= m_configuration.services.at(envelope->service).max_in_flight) {
+    Refusal refusal = make_refusal(RefusalReason::kQueueFull, Ran::kNo, "the service has too many requests in flight");
+    refusal.retry_after = std::chrono::seconds(1);
+    refuse_caller(id, std::move(refusal), request_id, request.token);
+    return;
+  }
+  ++in_flight;
+  m_context.counters.count("requests");
+  m_open_calls.emplace(id, OpenCall{envelope->service, envelope->group, now});
+  m_requests.start(id, std::move(*envelope), now);
+  settle_events(now);
+}
+
+void EntryHost::on_caller_gone(CallerRequestId id, TimePoint now) {
+  const auto found = m_open_calls.find(id);
+  if (found == m_open_calls.end()) {
+    return;
+  }
+  --m_in_flight[found->second.service];
+  m_open_calls.erase(found);
+  m_requests.cancel(id, now);
+  settle_events(now);
+}
+
+void EntryHost::on_upstream_opened(ConnectionId connection, tl::expected<void, UpstreamError> outcome, TimePoint now) {
+  m_groups.on_opened(connection, outcome, now);
+  settle_events(now);
+}
+
+void EntryHost::on_upstream_completed(ConnectionId connection, OperationId operation,
+                                      tl::expected<UpstreamResult, UpstreamError> outcome, TimePoint now) {
+  m_groups.on_completed(connection, operation, std::move(outcome), now);
+  settle_events(now);
+}
+
+void EntryHost::on_upstream_closed(ConnectionId connection, TimePoint now) {
+  m_groups.on_closed(connection, now);
+  settle_events(now);
+}
+
+void EntryHost::on_peer_request(PeerCallId call, PeerRequest request, TimePoint now) {
+  std::visit(Overloaded{
+                 [&](SubmitRequest& submit) { m_requests.start(call, std::move(submit.envelope), now); },
+                 [&](const Probe& probe) { on_probe(call, probe, now); },
+                 [&](const SuspicionQuery& query) { on_suspicion_query(call, query, now); },
+                 [&](const FetchConfiguration& fetch) { on_configuration_fetch(call, fetch); },
+             },
+             request);
+  settle_events(now);
+}
+
+void EntryHost::on_peer_request_cancelled(PeerCallId call, TimePoint now) {
+  m_requests.cancel(call, now);
+  settle_events(now);
+}
+
+void EntryHost::on_peer_answered(PeerCallId call, tl::expected<PeerResponse, PeerError> outcome, TimePoint now) {
+  auto node = m_peer_calls.extract(call);
+  if (node.empty()) {
+    return;
+  }
+  const bool reached = outcome.has_value();
+  std::visit(Overloaded{
+                 [&](const ForwardCall& forward) {
+                   if (reached && std::holds_alternative<SubmitReply>(*outcome)) {
+                     m_requests.on_forward_answered(forward.execution, forward.host,
+                                                    std::move(std::get<SubmitReply>(*outcome).outcome), now);
+                     return;
+                   }
+                   const PeerError error =
+                       reached ? PeerError{PeerErrorKind::kBadMessage, true, "wrong answer"} : outcome.error();
+                   const bool unreachable =
+                       error.kind == PeerErrorKind::kUnreachable || error.kind == PeerErrorKind::kLost;
+                   if (unreachable && m_hosts.on_failure(forward.host, now)) {
+                     hosts_changed("host " + forward.host.value() + " does not answer", now);
+                   }
+                   m_requests.on_forward_answered(forward.execution, forward.host, tl::unexpected(error), now);
+                 },
+                 [&](const ProbeCall& probe) {
+                   const auto* const reply = reached ? std::get_if<ProbeReply>(&*outcome) : nullptr;
+                   if (reply == nullptr) {
+                     if (m_hosts.on_failure(probe.host, now)) {
+                       hosts_changed("host " + probe.host.value() + " does not answer probes", now);
+                     }
+                     return;
+                   }
+                   if (m_hosts.on_answer(reply->responder, now)) {
+                     hosts_changed("probe of " + probe.host.value(), now);
+                   }
+                   merge_records(reply->records, now);
+                   on_peer_version(reply->responder, reply->configuration_version);
+                 },
+                 [&](const SuspicionCall& suspicion) {
+                   add_suspicion_answer(suspicion, reached ? std::get_if<SuspicionReply>(&*outcome) : nullptr, now);
+                 },
+                 [&](const ConfigurationCall& fetch) {
+                   m_configuration_requested = false;
+                   const auto* const reply = reached ? std::get_if<ConfigurationReply>(&*outcome) : nullptr;
+                   if (reply == nullptr || reply->document.empty()) {
+                     return;
+                   }
+                   const auto configuration = configuration_from_json(reply->document);
+                   if (!configuration.has_value()) {
+                     m_context.counters.count("configurations_rejected");
+                     return;
+                   }
+                   adopt_configuration(*configuration, "host " + fetch.host.value(), now);
+                 },
+             },
+             node.mapped());
+  settle_events(now);
+}
+
+void EntryHost::on_host_list(tl::expected<std::vector<HostRecord>, StoreError> outcome, TimePoint now) {
+  if (!outcome.has_value()) {
+    m_context.counters.count("host_list_failures");
+    return;
+  }
+  if (m_hosts.merge_list(*outcome, now)) {
+    hosts_changed("the platform's list of hosts", now);
+  }
+  settle_events(now);
+}
+
+void EntryHost::finish_request(const Origin& origin, const RequestEnvelope& envelope, RequestOutcome outcome,
+                               TimePoint now) {
+  if (const auto* const call = std::get_if<PeerCallId>(&origin)) {
+    m_context.ports.peers.answer(*call, SubmitReply{std::move(outcome)});
+    return;
+  }
+  answer_caller(std::get<CallerRequestId>(origin), envelope, std::move(outcome), now);
+}
+
+bool EntryHost::forward_request(ExecutionId execution, const HostId& host, RequestEnvelope envelope, Duration timeout) {
+  const HostRecord* const record = m_hosts.find(host);
+  if (record == nullptr) {
+    return false;
+  }
+  call_peer(*record, SubmitRequest{std::move(envelope)}, timeout, ForwardCall{execution, host});
+  return true;
+}
+
+void EntryHost::settle_events(TimePoint now) {
+  // Handling a notice can cause further ones; each round handles what the last one caused.
+  constexpr int kMaxRounds = 64;
+  for (int round = 0; round < kMaxRounds; ++round) {
+    const auto notices = m_groups.take_notices(now);
+    if (notices.empty()) {
+      return;
+    }
+    for (const auto& [group, notice] : notices) {
+      handle_notice(group, notice, now);
+    }
+  }
+}
+
+void EntryHost::handle_notice(const GroupId& group, const GroupNotice& notice, TimePoint now) {
+  std::visit(Overloaded{
+                 [&](const AskSuspicion& ask) { ask_suspicion(group, ask, now); },
+                 [&](const ConfirmationDone& done) { m_requests.on_confirmation_done(group, done, now); },
+                 [&](const PrimaryChanged& changed) {
+                   const std::string primary = changed.primary.has_value() ? changed.primary->value() : "none";
+                   m_context.counters.count("primary_changes_seen");
+                   note_decision(group.value(), "primary_" + primary + "_term_" + std::to_string(changed.term.value()),
+                                 changed.cause, now);
+                   m_requests.on_primary_changed(group, now);
+                 },
+                 [&](const MemberWorkEnded& ended) { m_requests.on_work_ended(ended, now); },
+             },
+             notice);
+}
+
+void EntryHost::answer_caller(CallerRequestId id, const RequestEnvelope& envelope, RequestOutcome outcome,
+                              TimePoint now) {
+  const auto open = m_open_calls.find(id);
+  if (open == m_open_calls.end()) {
+    return;
+  }
+  const OpenCall call = open->second;
+  --m_in_flight[call.service];
+  m_open_calls.erase(open);
+  m_latencies.record(now - call.arrived);
+  if (!outcome.has_value()) {
+    std::string token = m_tokens.encode(call.service, call.group, outcome.error().session);
+    refuse_caller(id, std::move(outcome.error().refusal), envelope.request_id, std::move(token));
+    return;
+  }
+  m_context.counters.count("requests_served");
+  CallerAnswer answer;
+  answer.results = std::move(outcome->results);
+  answer.token = m_tokens.encode(call.service, call.group, outcome->session);
+  answer.request_id = outcome->request_id;
+  answer.served_by = outcome->served_by;
+  answer.transaction = outcome->transaction;
+  m_context.ports.callers.answer(id, std::move(answer));
+}
+
+void EntryHost::refuse_caller(CallerRequestId id, Refusal refusal, const RequestId& request_id, std::string token) {
+  m_context.counters.count_refusal(refusal.reason, refusal.ran);
+  m_context.ports.callers.answer(id, tl::unexpected(CallerRefusal{std::move(refusal), std::move(token), request_id}));
+}
+
+void EntryHost::ask_suspicion(const GroupId& group, const AskSuspicion& ask, TimePoint now) {
+  SuspicionRound round;
+  round.term = ask.term;
+  std::vector<HostId> asked;
+  for (const HostId& owner : m_groups.owners_of(group)) {
+    if (owner != m_context.settings.self.host && m_hosts.find(owner) != nullptr) {
+      asked.push_back(owner);
+    }
+  }
+  round.asked = asked.size();
+  m_suspicion_rounds[group] = round;
+  if (asked.empty()) {
+    if (GroupRuntime* runtime = m_groups.find(group)) {
+      runtime->group().on_suspicion_replies(ask.term, 0, 0, Term(), now);
+    }
+    return;
+  }
+  for (const HostId& owner : asked) {
+    call_peer(*m_hosts.find(owner), SuspicionQuery{group, ask.member, ask.term},
+              m_context.settings.group_timings.suspicion_reply_timeout, SuspicionCall{group, ask.term, owner});
+  }
+}
+
+void EntryHost::add_suspicion_answer(const SuspicionCall& call, const SuspicionReply* reply, TimePoint now) {
+  const auto found = m_suspicion_rounds.find(call.group);
+  if (found == m_suspicion_rounds.end() || found->second.term != call.term) {
+    return;
+  }
+  SuspicionRound& round = found->second;
+  ++round.returned;
+  if (reply != nullptr && reply->monitored) {
+    ++round.answered;
+    round.suspecting += reply->suspected ? 1 : 0;
+    round.highest_known = std::max(round.highest_known, reply->known_term);
+  }
+  if (round.returned < round.asked) {
+    return;
+  }
+  if (GroupRuntime* runtime = m_groups.find(call.group)) {
+    runtime->group().on_suspicion_replies(round.term, round.answered, round.suspecting, round.highest_known, now);
+  }
+  m_suspicion_rounds.erase(found);
+}
+
+void EntryHost::call_peer(const HostRecord& peer, PeerRequest request, Duration timeout, CallPurpose purpose) {
+  const auto call = m_context.ids.next<PeerCallId>();
+  m_peer_calls.emplace(call, std::move(purpose));
+  m_context.ports.peers.call(call, peer.peer_endpoint, std::move(request), timeout);
+}
+
+void EntryHost::probe_hosts(TimePoint now) {
+  const std::size_t working = m_hosts.working_hosts().size();
+  for (const ProbeTarget& target : m_hosts.on_tick(now)) {
+    const HostRecord* const record = m_hosts.find(target.host);
+    if (record == nullptr) {
+      continue;
+    }
+    std::vector<HostRecord> records = m_hosts.records_to_share();
+    // The target learns what is said of it and can contradict.
+    records.push_back(*record);
+    call_peer(*record, Probe{m_hosts.self(), m_configuration.version, std::move(records)},
+              m_context.settings.host_table_timings.probe_timeout, ProbeCall{target.host});
+  }
+  if (m_hosts.working_hosts().size() != working) {
+    hosts_changed("a suspect host counts as dead", now);
+  }
+}
+
+void EntryHost::on_probe(PeerCallId call, const Probe& probe, TimePoint now) {
+  if (m_hosts.merge(probe.sender, now)) {
+    hosts_changed("probe from " + probe.sender.host.value(), now);
+  }
+  merge_records(probe.records, now);
+  on_peer_version(probe.sender, probe.configuration_version);
+  m_context.ports.peers.answer(call, ProbeReply{m_hosts.self(), m_configuration.version, m_hosts.records_to_share()});
+}
+
+void EntryHost::on_suspicion_query(PeerCallId call, const SuspicionQuery& query, TimePoint now) {
+  SuspicionReply reply;
+  if (const GroupRuntime* runtime = m_groups.find(query.group)) {
+    reply.monitored = runtime->ownership().owner;
+    reply.suspected = runtime->group().suspects(query.member, query.term, now);
+    reply.known_term = runtime->group().highest_known_term();
+  }
+  m_context.ports.peers.answer(call, reply);
+}
+
+void EntryHost::on_configuration_fetch(PeerCallId call, const FetchConfiguration& fetch) {
+  ConfigurationReply reply;
+  reply.version = m_configuration.version;
+  if (m_configuration.version > fetch.known) {
+    reply.document = configuration_to_json(m_configuration);
+  }
+  m_context.ports.peers.answer(call, std::move(reply));
+}
+
+void EntryHost::on_peer_version(const HostRecord& peer, ConfigurationVersion version) {
+  if (version <= m_configuration.version || m_configuration_requested) {
+    return;
+  }
+  m_configuration_requested = true;
+  call_peer(peer, FetchConfiguration{m_configuration.version}, kConfigurationFetchTimeout,
+            ConfigurationCall{peer.host});
+}
+
+void EntryHost::merge_records(const std::vector<HostRecord>& records, TimePoint now) {
+  bool changed = false;
+  for (const HostRecord& record : records) {
+    changed = m_hosts.merge(record, now) || changed;
+  }
+  if (changed) {
+    hosts_changed("another host's knowledge", now);
+  }
+}
+
+void EntryHost::hosts_changed(const std::string& cause, TimePoint now) {
+  m_groups.update_owners(now);
+  m_context.counters.count("host_table_changes");
+  note_decision(m_context.settings.self.host.value(), "hosts_working_" + std::to_string(m_hosts.working_hosts().size()),
+                cause, now);
+}
+
+std::size_t EntryHost::open_work() const { return m_requests.open_requests() + m_requests.open_transactions(); }
+
+void EntryHost::note_decision(std::string subject, std::string event, std::string cause, TimePoint now) {
+  m_context.ports.log.log_state_change(event, {{"subject", subject}, {"cause", cause}});
+  m_decisions.add({now, std::move(subject), std::move(event), std::move(cause)});
+}
+
+RequestId EntryHost::generate_request_id() {
+  // Host, incarnation and number are unique in the fleet; nothing random is needed.
+  return RequestId(m_context.settings.self.host.value() + '.' +
+                   std::to_string(m_context.settings.self.incarnation.value()) + '.' +
+                   std::to_string(++m_last_request_number));
+}
+
+}  // namespace teaselrudder
--- /dev/null
+++ b/servers/host/entry_host.h
@@ -0,0 +1,147 @@
+#pragma once
+
+#include <map>
+#include <optional>
+#include <string>
+#include <variant>
+
+#include "core/session/session_token.h"
+#include "servers/host/decision_log.h"
+#include "servers/host/group_directory.h"
+#include "servers/host/host_context.h"
+#include "servers/host/planned_stop.h"
+#include "servers/host/request_service.h"
+#include "servers/membership/host_table.h"
+
+namespace teaselrudder {
+
+/// One host of this system: joins the decisions and turns events of the outside into theirs.
+///
+/// Every method that takes an event also takes the present time. After each event, next_wakeup() tells when on_tick()
+/// is due.
+class EntryHost : public CallerEvents,
+                  public UpstreamEvents,
+                  public PeerEvents,
+                  public HostListEvents,
+                  private RequestSink {
+ public:
+  EntryHost(const HostSettings& settings, HostPorts ports, HostCharts charts, Counters& counters, TimePoint now);
+
+  /// Puts `configuration` in force if its version is higher than the present one. Returns false otherwise.
+  bool adopt_configuration(const Configuration& configuration, const std::string& source, TimePoint now);
+
+  /// Adds a host that is known from the settings.
+  void add_known_host(const HostRecord& record, TimePoint now);
+
+  /// Orders a graceful stop.
+  void stop(const std::string& cause, TimePoint now);
+
+  /// Does what is due.
+  void on_tick(TimePoint now);
+
+  /// Returns when on_tick() is due next.
+  TimePoint next_wakeup() const;
+
+  void on_caller_request(CallerRequestId id, Request request, TimePoint now) override;
+  void on_caller_gone(CallerRequestId id, TimePoint now) override;
+
+  void on_upstream_opened(ConnectionId connection, tl::expected<void, UpstreamError> outcome, TimePoint now) override;
+  void on_upstream_completed(ConnectionId connection, OperationId operation,
+                             tl::expected<UpstreamResult, UpstreamError> outcome, TimePoint now) override;
+  void on_upstream_closed(ConnectionId connection, TimePoint now) override;
+
+  void on_peer_request(PeerCallId call, PeerRequest request, TimePoint now) override;
+  void on_peer_request_cancelled(PeerCallId call, TimePoint now) override;
+  void on_peer_answered(PeerCallId call, tl::expected<PeerResponse, PeerError> outcome, TimePoint now) override;
+
+  void on_host_list(tl::expected<std::vector<HostRecord>, StoreError> outcome, TimePoint now) override;
+
+  const Configuration& configuration() const { return m_configuration; }
+  const HostTable& hosts() const { return m_hosts; }
+  const GroupDirectory& groups() const { return m_groups; }
+  const PlannedStop& planned_stop() const { return m_stop; }
+  const DecisionLog& decisions() const { return m_decisions; }
+  const RequestService& requests() const { return m_requests; }
+  const LatencyHistogram& latencies() const { return m_latencies; }
+
+ private:
+  /// A request that another host carries out for this one.
+  struct ForwardCall {
+    ExecutionId execution;
+    HostId host;
+  };
+  /// A probe of another host.
+  struct ProbeCall {
+    HostId host;
+  };
+  /// One question to an owner about a suspected primary.
+  struct SuspicionCall {
+    GroupId group;
+    Term term;
+    HostId host;
+  };
+  /// A configuration that another host has.
+  struct ConfigurationCall {
+    HostId host;
+  };
+  using CallPurpose = std::variant<ForwardCall, ProbeCall, SuspicionCall, ConfigurationCall>;
+
+  /// Answers of the owners to one question about a suspected primary.
+  struct SuspicionRound {
+    Term term;
+    std::size_t asked = 0;
+    std::size_t returned = 0;
+    std::size_t answered = 0;
+    std::size_t suspecting = 0;
+    Term highest_known;
+  };
+
+  /// A caller's request that has no answer yet.
+  struct OpenCall {
+    ServiceName service;
+    GroupId group;
+    TimePoint arrived;
+  };
+
+  void finish_request(const Origin& origin, const RequestEnvelope& envelope, RequestOutcome outcome,
+                      TimePoint now) override;
+  bool forward_request(ExecutionId execution, const HostId& host, RequestEnvelope envelope, Duration timeout) override;
+
+  void settle_events(TimePoint now);
+  void handle_notice(const GroupId& group, const GroupNotice& notice, TimePoint now);
+  void answer_caller(CallerRequestId id, const RequestEnvelope& envelope, RequestOutcome outcome, TimePoint now);
+  void refuse_caller(CallerRequestId id, Refusal refusal, const RequestId& request_id, std::string token);
+  void ask_suspicion(const GroupId& group, const AskSuspicion& ask, TimePoint now);
+  void add_suspicion_answer(const SuspicionCall& call, const SuspicionReply* reply, TimePoint now);
+  void call_peer(const HostRecord& peer, PeerRequest request, Duration timeout, CallPurpose purpose);
+  void probe_hosts(TimePoint now);
+  void on_probe(PeerCallId call, const Probe& probe, TimePoint now);
+  void on_suspicion_query(PeerCallId call, const SuspicionQuery& query, TimePoint now);
+  void on_configuration_fetch(PeerCallId call, const FetchConfiguration& fetch);
+  void on_peer_version(const HostRecord& peer, ConfigurationVersion version);
+  void merge_records(const std::vector<HostRecord>& records, TimePoint now);
+  void hosts_changed(const std::string& cause, TimePoint now);
+  std::size_t open_work() const;
+  void note_decision(std::string subject, std::string event, std::string cause, TimePoint now);
+  RequestId generate_request_id();
+
+  HostContext m_context;
+  Configuration m_configuration;
+  HostTable m_hosts;
+  GroupDirectory m_groups;
+  RequestService m_requests;
+  PlannedStop m_stop;
+  DecisionLog m_decisions;
+  SessionTokenCodec m_tokens;
+  LatencyHistogram m_latencies;
+  std::map<CallerRequestId, OpenCall> m_open_calls;
+  std::map<ServiceName, std::size_t> m_in_flight;
+  std::map<PeerCallId, CallPurpose> m_peer_calls;
+  std::map<GroupId, SuspicionRound> m_suspicion_rounds;
+  std::uint64_t m_last_request_number = 0;
+  TimePoint m_next_probe_check;
+  TimePoint m_next_host_list;
+  bool m_configuration_requested = false;
+};
+
+}  // namespace teaselrudder
--- /dev/null
+++ b/servers/host/member_executor.cc
@@ -0,0 +1,276 @@
+#include "servers/host/member_executor.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace teaselrudder {
+
+namespace {
+
+// One failed attempt may be chance; after two the work looks for another member.
+constexpr std::uint32_t kFailuresUntilRefused = 2;
+
+UpstreamError silent_error() {
+  UpstreamError error;
+  error.kind = UpstreamErrorKind::kConnectionLost;
+  error.message = "the connection gave no answer in time";
+  return error;
+}
+
+// After these errors the connection is in a known state and can carry the next operation.
+bool connection_survives(const tl::expected<UpstreamResult, UpstreamError>& outcome) {
+  if (outcome.has_value()) {
+    return true;
+  }
+  const UpstreamErrorKind kind = outcome.error().kind;
+  return kind == UpstreamErrorKind::kStatementFailed || kind == UpstreamErrorKind::kNotPrimaryInTerm;
+}
+
+}  // namespace
+
+MemberExecutor::MemberExecutor(QueueLimits queue_limits, Endpoint endpoint, PoolLimits pool_limits,
+                               std::shared_ptr<const StateChart> chart, UpstreamPort& port, IdSource& ids)
+    : m_queue(queue_limits),
+      m_pool(std::move(endpoint), pool_limits, std::move(chart), port, ids),
+      m_port(port),
+      m_ids(ids) {}
+
+tl::expected<void, WorkRefused> MemberExecutor::submit(MemberWork work, TimePoint now) {
+  const tl::expected<void, QueueRefusal> admitted = m_queue.enqueue(work.queued, now);
+  if (!admitted.has_value()) {
+    return tl::unexpected(WorkRefused{admitted.error().reason, admitted.error().retry_after});
+  }
+  const WorkId id = work.queued.id;
+  m_work.emplace(id, std::move(work));
+  pump(now);
+  return {};
+}
+
+bool MemberExecutor::withdraw(WorkId work, TimePoint now) {
+  if (!m_work.contains(work)) {
+    return false;
+  }
+  m_work.erase(work);
+  const auto waiting = std::find(m_waiting.begin(), m_waiting.end(), work);
+  if (waiting != m_waiting.end()) {
+    m_waiting.erase(waiting);
+    m_queue.finish(work, now);
+  } else {
+    m_queue.remove(work);
+  }
+  pump(now);
+  return true;
+}
+
+void MemberExecutor::abandon(WorkId work, TimePoint now) {
+  const auto found =
+      std::find_if(m_running.begin(), m_running.end(), [work](const auto& entry) { return entry.second.work == work; });
+  if (found == m_running.end()) {
+    return;
+  }
+  const ConnectionId connection = found->first;
+  if (found->second.in_transaction) {
+    --m_transactions;
+  }
+  m_running.erase(found);
+  m_pool.discard(connection);
+  m_queue.finish(work, now);
+  pump(now);
+}
+
+void MemberExecutor::end_transaction(ConnectionId connection, bool in_doubt, TimePoint now) {
+  if (!m_pool.owns(connection)) {
+    return;
+  }
+  --m_transactions;
+  if (in_doubt) {
+    m_pool.discard(connection);
+  } else {
+    m_pool.release(connection, now);
+  }
+  pump(now);
+}
+
+void MemberExecutor::shut_down(TimePoint now) {
+  while (!m_running.empty()) {
+    UpstreamError error;
+    error.message = "the member left the group";
+    finish_running(m_running.begin()->first, tl::unexpected(std::move(error)), false, now);
+  }
+  fail_waiting(UpstreamErrorKind::kConnectFailed, now);
+  for (const auto& [id, work] : std::exchange(m_work, {})) {
+    m_queue.remove(id);
+    UpstreamError error;
+    error.kind = UpstreamErrorKind::kConnectFailed;
+    error.may_have_run = false;
+    error.message = "the member left the group";
+    report(id, WorkEnded{tl::unexpected(std::move(error)), ConnectionId(), now, false});
+  }
+}
+
+void MemberExecutor::fail_waiting(UpstreamErrorKind kind, TimePoint now) {
+  const std::vector<WorkId> waiting = std::exchange(m_waiting, {});
+  for (const WorkId work : waiting) {
+    m_work.erase(work);
+    m_queue.finish(work, now);
+    UpstreamError error;
+    error.kind = kind;
+    error.may_have_run = false;
+    error.message = "no connection to the member came about";
+    report(work, WorkEnded{tl::unexpected(std::move(error)), ConnectionId(), now, false});
+  }
+}
+
+void MemberExecutor::on_opened(ConnectionId connection, const tl::expected<void, UpstreamError>& outcome,
+                               TimePoint now) {
+  m_pool.on_opened(connection, outcome, now);
+  if (m_pool.failures_in_row() >= kFailuresUntilRefused) {
+    fail_waiting(m_pool.last_failure().value_or(UpstreamErrorKind::kConnectFailed), now);
+  }
+  pump(now);
+}
+
+void MemberExecutor::on_completed(ConnectionId connection, OperationId operation,
+                                  tl::expected<UpstreamResult, UpstreamError> outcome, TimePoint now) {
+  if (m_pool.on_check_completed(connection, operation, outcome.has_value(), now)) {
+    pump(now);
+    return;
+  }
+  const auto running = m_running.find(connection);
+  // An answer to an operation that this connection does not run now belongs to nobody.
+  if (running == m_running.end() || running->second.operation != operation) {
+    m_pool.discard(connection);
+    return;
+  }
+  finish_running(connection, std::move(outcome), false, now);
+  pump(now);
+}
+
+void MemberExecutor::on_closed(ConnectionId connection, TimePoint now) {
+  if (m_running.contains(connection)) {
+    UpstreamError error;
+    error.message = "the member closed the connection";
+    finish_running(connection, tl::unexpected(std::move(error)), false, now);
+  }
+  m_pool.on_gone(connection);
+  pump(now);
+}
+
+void MemberExecutor::on_tick(TimePoint now) {
+  std::vector<ConnectionId> silent;
+  for (const auto& [connection, running] : m_running) {
+    if (now >= running.silent_at) {
+      silent.push_back(connection);
+    }
+  }
+  for (const ConnectionId connection : silent) {
+    finish_running(connection, tl::unexpected(silent_error()), true, now);
+  }
+  m_pool.on_tick(now);
+  if (m_pool.failures_in_row() >= kFailuresUntilRefused) {
+    fail_waiting(m_pool.last_failure().value_or(UpstreamErrorKind::kConnectFailed), now);
+  }
+  pump(now);
+}
+
+std::vector<WorkOutcome> MemberExecutor::take_outcomes() { return std::exchange(m_outcomes, {}); }
+
+std::optional<TimePoint> MemberExecutor::next_wakeup() const {
+  std::optional<TimePoint> earliest = m_pool.next_wakeup(!m_waiting.empty());
+  const auto consider = [&earliest](TimePoint at) { earliest = earliest.has_value() ? std::min(*earliest, at) : at; };
+  for (const auto& [connection, running] : m_running) {
+    consider(running.silent_at);
+  }
+  if (const std::optional<TimePoint> deadline = m_queue.next_deadline()) {
+    consider(*deadline);
+  }
+  return earliest;
+}
+
+void MemberExecutor::set_limits(std::uint32_t slots, std::uint32_t connections) {
+  m_queue.set_slots(slots);
+  m_pool.set_connection_limit(connections);
+}
+
+void MemberExecutor::pump(TimePoint now) {
+  for (const WorkId expired : m_queue.take_expired(now)) {
+    m_work.erase(expired);
+    report(expired, WorkRefused{RefusalReason::kQueueDeadline, std::nullopt});
+  }
+  while (const std::optional<WorkId> next = m_queue.start_next(now)) {
+    MemberWork& work = m_work.at(*next);
+    if (work.connection.has_value()) {
+      const ConnectionId connection = *work.connection;
+      MemberWork started = std::move(work);
+      m_work.erase(*next);
+      start(connection, std::move(started), now);
+      continue;
+    }
+    m_waiting.push_back(*next);
+  }
+  while (!m_waiting.empty()) {
+    const std::optional<ConnectionId> connection = m_pool.acquire(now);
+    if (!connection.has_value()) {
+      break;
+    }
+    const auto node = m_work.extract(m_waiting.front());
+    m_waiting.erase(m_waiting.begin());
+    start(*connection, std::move(node.mapped()), now);
+  }
+  m_pool.prepare(m_waiting.size(), now);
+}
+
+void MemberExecutor::start(ConnectionId connection, MemberWork work, TimePoint now) {
+  const WorkId id = work.queued.id;
+  if (!m_pool.owns(connection)) {
+    // The connection of the transaction is gone, and the transaction with it.
+    m_queue.finish(id, now);
+    UpstreamError error;
+    error.may_have_run = false;
+    error.message = "the connection of the transaction is closed";
+    report(id, WorkEnded{tl::unexpected(std::move(error)), connection, now, false});
+    return;
+  }
+  Running running;
+  running.work = id;
+  running.operation = m_ids.next<OperationId>();
+  running.started = now;
+  running.silent_at = now + work.silent_after;
+  running.keep_connection = work.keep_connection;
+  running.in_transaction = work.connection.has_value();
+  running.service = std::move(work.service);
+  running.shape = std::move(work.shape);
+  const OperationId operation = running.operation;
+  m_running.emplace(connection, running);
+  m_port.execute(connection, operation, std::move(work.operation));
+}
+
+void MemberExecutor::report(WorkId work, std::variant<WorkRefused, WorkEnded> end) {
+  m_outcomes.push_back({work, std::move(end)});
+}
+
+void MemberExecutor::finish_running(ConnectionId connection, tl::expected<UpstreamResult, UpstreamError> outcome,
+                                    bool silent, TimePoint now) {
+  const auto node = m_running.extract(connection);
+  const Running& running = node.mapped();
+  m_queue.finish(running.work, now);
+  if (!running.shape.empty()) {
+    // A silent operation took at least this long, so that its next attempt is given more time.
+    m_durations.record(running.service, running.shape, now - running.started);
+  }
+  const bool survives = !silent && connection_survives(outcome);
+  if (!survives) {
+    if (running.in_transaction) {
+      --m_transactions;
+    }
+    m_pool.discard(connection);
+  } else if (running.keep_connection && outcome.has_value()) {
+    // A connection that was taken from the pool now belongs to a transaction.
+    m_transactions += running.in_transaction ? 0 : 1;
+  } else if (!running.in_transaction) {
+    m_pool.release(connection, now);
+  }
+  report(running.work, WorkEnded{std::move(outcome), connection, running.started, silent});
+}
+
+}  // namespace teaselrudder
--- /dev/null
+++ b/servers/host/outcome_resolver.cc
@@ -0,0 +1,147 @@
+#include "servers/host/outcome_resolver.h"
+
+#include <algorithm>
+
+#include "servers/host/shared_read_coordinator.h"
+
+namespace teaselrudder {
+
+namespace {
+
+constexpr Duration kSettleRetryDelay = std::chrono::milliseconds(50);
+
+LogPoint point_of(const MemberStatus& status) { return {status.raised_term, status.received}; }
+
+}  // namespace
+
+OutcomeResolver::OutcomeResolver(HostContext& context, GroupDirectory& groups, ExecutionActions& actions)
+    : m_context(context), m_groups(groups), m_actions(actions) {}
+
+void OutcomeResolver::leave(Execution& execution) {
+  if (!execution.confirmation.has_value()) {
+    return;
+  }
+  m_confirmations.erase({execution.envelope.group, *execution.confirmation});
+  if (GroupRuntime* runtime = m_groups.find(execution.envelope.group)) {
+    runtime->group().cancel_confirmation(*execution.confirmation);
+  }
+  execution.confirmation.reset();
+}
+
+void OutcomeResolver::confirm(Execution& execution, const MemberStatus& status, ConfirmationPurpose purpose,
+                              TimePoint now) {
+  execution.chart.fire(RequestEvent::kConfirm);
+  execution.confirmation_purpose = purpose;
+  execution.answer.session.point = point_of(status);
+  GroupRuntime* const runtime = m_groups.find(execution.envelope.group);
+  if (runtime == nullptr) {
+    m_actions.refuse(
+        execution,
+        make_refusal(RefusalReason::kConfirmationTimeout, Ran::kUnknown, "the group is not configured any more"), now);
+    return;
+  }
+  const ConfirmationId confirmation = runtime->group().confirm(point_of(status), execution.deadline, now);
+  execution.confirmation = confirmation;
+  m_confirmations.emplace(std::make_pair(execution.envelope.group, confirmation), execution.id);
+}
+
+void OutcomeResolver::on_confirmation_done(const GroupId& group, const ConfirmationDone& done, TimePoint now) {
+  const auto found = m_confirmations.find({group, done.confirmation});
+  if (found == m_confirmations.end()) {
+    return;
+  }
+  Execution* const execution = m_actions.find(found->second);
+  m_confirmations.erase(found);
+  if (execution == nullptr) {
+    return;
+  }
+  execution->confirmation.reset();
+  if (done.confirmed) {
+    on_confirmed(*execution, now);
+    return;
+  }
+  m_context.counters.count("confirmations_failed");
+  if (execution->confirmation_purpose == ConfirmationPurpose::kRead) {
+    m_actions.retry(*execution, RetryReason::kPrimaryChanged, false, now);
+    return;
+  }
+  execution->pending_refusal =
+      make_refusal(RefusalReason::kConfirmationTimeout, Ran::kUnknown, "no majority confirmed the write");
+  settle(*execution, now);
+}
+
+void OutcomeResolver::on_confirmed(Execution& execution, TimePoint now) {
+  const SessionPosition& before = execution.envelope.session;
+  SessionPosition& after = execution.answer.session;
+  const LogPoint confirmed = after.point;
+  // An unknown write of an earlier term is decided once a later term is confirmed.
+  after.uncertain = before.uncertain && before.point.term >= confirmed.term;
+  switch (execution.confirmation_purpose) {
+    case ConfirmationPurpose::kWrite:
+      m_context.counters.count("writes_confirmed");
+      m_actions.succeed(execution, now);
+      return;
+    case ConfirmationPurpose::kRead:
+      count_read(m_context.counters, execution);
+      m_actions.succeed(execution, now);
+      return;
+    case ConfirmationPurpose::kSettledRan:
+    case ConfirmationPurpose::kSettledVoid:
+      break;
+  }
+  const bool ran = execution.confirmation_purpose == ConfirmationPurpose::kSettledRan;
+  m_context.counters.count(ran ? "writes_settled_ran" : "writes_settled_void");
+  Refusal refusal = execution.pending_refusal;
+  refusal.ran = ran ? Ran::kYes : Ran::kNo;
+  refusal.detail += ran ? "; the write ran and is confirmed, but its results are not kept"
+                        : "; the write did not run and its request id is void";
+  m_actions.finish(execution, tl::unexpected(RefusedRequest{std::move(refusal), after}), now);
+}
+
+void OutcomeResolver::settle(Execution& execution, TimePoint now) {
+  execution.chart.fire(RequestEvent::kSettle);
+  m_context.counters.count("writes_settling");
+  try_settle(execution, now);
+}
+
+void OutcomeResolver::try_settle(Execution& execution, TimePoint now) {
+  GroupRuntime* const runtime = m_groups.open(execution.envelope.group, now);
+  const std::optional<PrimaryView> primary = runtime == nullptr ? std::nullopt : runtime->group().primary();
+  if (!primary.has_value()) {
+    m_actions.wake_at(execution, now + kSettleRetryDelay);
+    return;
+  }
+  execution.member = primary->member;
+  execution.term = primary->term;
+  m_actions.submit(execution, SettleRequest{primary->term, execution.envelope.request_id}, WorkPurpose::kSettle,
+                   std::nullopt, now);
+}
+
+void OutcomeResolver::on_settle_ended(Execution& execution, const WorkEnded& ended, TimePoint now) {
+  const auto* const result = ended.result.has_value() ? std::get_if<SettleResult>(&*ended.result) : nullptr;
+  if (result == nullptr) {
+    // Settling is idempotent: the record of the id decides the same way each time.
+    m_actions.wake_at(execution, now + kSettleRetryDelay);
+    return;
+  }
+  if (GroupRuntime* runtime = m_groups.find(execution.envelope.group)) {
+    runtime->group().on_operation_report(execution.member, result->after, ended.started, now);
+  }
+  confirm(execution, result->after, result->ran ? ConfirmationPurpose::kSettledRan : ConfirmationPurpose::kSettledVoid,
+          now);
+}
+
+SessionPosition OutcomeResolver::session_after_unknown(const Execution& execution) {
+  SessionPosition session = execution.envelope.session;
+  Term attempted = std::max(execution.term, execution.envelope.term);
+  if (const GroupRuntime* runtime = m_groups.find(execution.envelope.group)) {
+    attempted = std::max(attempted, runtime->group().highest_known_term());
+  }
+  if (attempted > session.point.term) {
+    session.point = {attempted, LogPosition()};
+  }
+  session.uncertain = true;
+  return session;
+}
+
+}  // namespace teaselrudder
--- /dev/null
+++ b/servers/host/request_service.cc
@@ -0,0 +1,590 @@
+#include "servers/host/request_service.h"
+
+#include <algorithm>
+
+#include "servers/group/read_router.h"
+
+namespace teaselrudder {
+
+namespace {
+
+// Bounds the work that one request can cause, whatever the group does.
+constexpr std::uint32_t kMaxAttempts = 8;
+// How often a waiting request looks again for a member that satisfies it.
+constexpr Duration kReplicaPollInterval = std::chrono::milliseconds(5);
+// A change of the primary wakes the requests that wait for it; the poll only bounds the cost of a missed one.
+constexpr Duration kPrimaryPollInterval = std::chrono::milliseconds(500);
+// Bounds the memory of one host; at 520 hosts and 980,000 statements/s a host has about 1,900 a second.
+constexpr std::size_t kMaxOpenRequests = 50000;
+// The answer of a host that a request was sent to needs this long to come back.
+constexpr Duration kSettleRetryDelay = std::chrono::milliseconds(50);
+constexpr Duration kForwardMargin = std::chrono::milliseconds(20);
+constexpr std::int64_t kSilentFactor = 10;
+constexpr Duration kSettleExpected = std::chrono::milliseconds(2);
+
+std::string shape_of(const std::vector<Statement>& statements) {
+  std::string shape;
+  for (const Statement& statement : statements) {
+    shape += statement_shape(statement.sql);
+    shape += ';';
+    if (shape.size() > kMaxShapeLength) {
+      break;
+    }
+  }
+  return shape;
+}
+
+bool is_movable(const RequestEnvelope& envelope) {
+  return envelope.step == TransactionStep::kNone && envelope.read_only;
+}
+
+// Refusals of another host that say nothing about the request: a different way may work.
+bool is_worth_another_way(const RefusedRequest& refused) {
+  if (refused.refusal.ran != Ran::kNo) {
+    return false;
+  }
+  switch (refused.refusal.reason) {
+    case RefusalReason::kStopping:
+    case RefusalReason::kTooManyForwards:
+    case RefusalReason::kUnknownService:
+    case RefusalReason::kOwnerUnreachable:
+      return true;
+    default:
+      return false;
+  }
+}
+
+}  // namespace
+
+RequestService::RequestService(HostContext& context, GroupDirectory& groups, RequestSink& sink)
+    : m_context(context),
+      m_groups(groups),
+      m_sink(sink),
+      m_router(context, groups),
+      m_outcomes(context, groups, *this),
+      m_transactions(context, groups, *this, m_outcomes),
+      m_shared_reads(context, groups, *this) {}
+
+void RequestService::start(const Origin& origin, RequestEnvelope envelope, TimePoint now) {
+  const auto id = m_context.ids.next<ExecutionId>();
+  Execution execution(id, origin, std::move(envelope), m_context.charts.request, now);
+  execution.pending_refusal = make_refusal(RefusalReason::kQueueDeadline, Ran::kNo, "the deadline passed");
+  Execution& added = m_executions.emplace(id, std::move(execution)).first->second;
+  m_origins.emplace(origin, id);
+  m_timers.schedule(id, added.deadline);
+  m_retry_budget.on_request();
+  if (added.envelope.hops > kMaxForwardHops) {
+    refuse(added, make_refusal(RefusalReason::kTooManyForwards, Ran::kNo, "the request crossed too many hosts"), now);
+    return;
+  }
+  if (m_executions.size() > kMaxOpenRequests) {
+    refuse(added, make_refusal(RefusalReason::kQueueFull, Ran::kNo, "too many requests are open on this host"), now);
+    return;
+  }
+  const TransactionStep step = added.envelope.step;
+  if (step == TransactionStep::kNone || step == TransactionStep::kBegin) {
+    route(added, now);
+    return;
+  }
+  m_transactions.run_step(added, now);
+}
+
+void RequestService::cancel(const Origin& origin, TimePoint now) {
+  const auto found = m_origins.find(origin);
+  if (found == m_origins.end()) {
+    return;
+  }
+  Execution& execution = m_executions.at(found->second);
+  MemberExecutor* executor = executor_of(execution);
+  if (execution.work.has_value() && executor != nullptr && !executor->withdraw(*execution.work, now)) {
+    // The work runs. A transaction cannot go on without its caller; anything else ends by itself.
+    m_transactions.on_caller_left(execution, now);
+  }
+  m_context.counters.count("requests_cancelled");
+  execution.chart.fire(RequestEvent::kFinish);
+  detach(execution, now);
+  m_executions.erase(execution.id);
+}
+
+void RequestService::on_forward_answered(ExecutionId id, const HostId& host,
+                                         tl::expected<RequestOutcome, PeerError> outcome, TimePoint now) {
+  Execution* const execution = find(id);
+  if (execution == nullptr || execution->chart.state() != RequestState::kForwarded) {
+    return;
+  }
+  if (outcome.has_value()) {
+    RequestOutcome& answered = *outcome;
+    if (!answered.has_value() && is_worth_another_way(answered.error())) {
+      execution->excluded_hosts.insert(host);
+      execution->pending_refusal = answered.error().refusal;
+      retry(*execution, RetryReason::kOwnerUnreachable, false, now);
+      return;
+    }
+    finish(*execution, std::move(answered), now);
+    return;
+  }
+  execution->excluded_hosts.insert(host);
+  const bool delivered = outcome.error().may_have_been_delivered;
+  const Ran ran = delivered ? Ran::kUnknown : Ran::kNo;
+  execution->pending_refusal =
+      make_refusal(RefusalReason::kOwnerUnreachable, ran, "host " + host.value() + " could not be reached");
+  const TransactionStep step = execution->envelope.step;
+  if (step != TransactionStep::kNone && step != TransactionStep::kBegin) {
+    refuse(*execution, execution->pending_refusal, now);
+    return;
+  }
+  if (!delivered) {
+    retry(*execution, RetryReason::kOwnerUnreachable, false, now);
+    return;
+  }
+  if (is_movable(execution->envelope)) {
+    retry(*execution, RetryReason::kOwnerLost, true, now);
+    return;
+  }
+  execution->may_have_run = true;
+  m_outcomes.settle(*execution, now);
+}
+
+void RequestService::on_work_ended(const MemberWorkEnded& ended, TimePoint now) {
+  const auto found = m_work.find(ended.outcome.work);
+  if (found == m_work.end()) {
+    return;
+  }
+  Execution* const execution = find(found->second);
+  m_work.erase(found);
+  if (execution == nullptr || execution->work != ended.outcome.work) {
+    return;
+  }
+  execution->work.reset();
+  if (const auto* refused = std::get_if<WorkRefused>(&ended.outcome.end)) {
+    on_refused_work(*execution, *refused, now);
+    return;
+  }
+  const WorkEnded& work = std::get<WorkEnded>(ended.outcome.end);
+  if (execution->purpose == WorkPurpose::kSettle) {
+    m_outcomes.on_settle_ended(*execution, work, now);
+    return;
+  }
+  const bool is_step = execution->purpose == WorkPurpose::kStep || execution->purpose == WorkPurpose::kCommit ||
+                       execution->purpose == WorkPurpose::kRollback;
+  if (is_step) {
+    m_transactions.on_step_ended(*execution, work, now);
+    return;
+  }
+  if (!work.result.has_value()) {
+    on_work_failed(*execution, work, now);
+    return;
+  }
+  const auto* const result = std::get_if<StatementsResult>(&*work.result);
+  if (result == nullptr) {
+    refuse(*execution,
+           make_refusal(RefusalReason::kInternal, Ran::kUnknown, "the upstream gave another kind of result"), now);
+    return;
+  }
+  if (execution->purpose == WorkPurpose::kBegin) {
+    m_transactions.on_begin_ended(*execution, *result, work, now);
+    return;
+  }
+  on_run_ended(*execution, *result, work, now);
+}
+
+void RequestService::on_confirmation_done(const GroupId& group, const ConfirmationDone& done, TimePoint now) {
+  m_outcomes.on_confirmation_done(group, done, now);
+}
+
+void RequestService::on_primary_changed(const GroupId& group, TimePoint now) {
+  std::vector<ExecutionId> woken;
+  for (const auto& [id, execution] : m_executions) {
+    const RequestState state = execution.chart.state();
+    const bool waits = state == RequestState::kWaiting || (state == RequestState::kSettling && !execution.work);
+    if (execution.envelope.group == group && waits) {
+      woken.push_back(id);
+    }
+  }
+  for (const ExecutionId id : woken) {
+    Execution* const execution = find(id);
+    if (execution == nullptr) {
+      continue;
+    }
+    if (execution->chart.state() == RequestState::kSettling) {
+      m_outcomes.try_settle(*execution, now);
+      continue;
+    }
+    execution->chart.fire(RequestEvent::kRoute);
+    route(*execution, now);
+  }
+}
+
+void RequestService::on_tick(TimePoint now) {
+  for (const ExecutionId id : m_timers.take_due(now)) {
+    Execution* const execution = find(id);
+    if (execution == nullptr) {
+      continue;
+    }
+    if (now >= execution->deadline) {
+      on_deadline(*execution, now);
+      continue;
+    }
+    m_timers.schedule(id, execution->deadline);
+    if (execution->chart.state() == RequestState::kWaiting) {
+      execution->chart.fire(RequestEvent::kRoute);
+      route(*execution, now);
+    } else if (execution->chart.state() == RequestState::kSettling && !execution->work.has_value()) {
+      m_outcomes.try_settle(*execution, now);
+    }
+  }
+  m_transactions.on_tick(now);
+}
+
+std::optional<TimePoint> RequestService::next_wakeup() const {
+  std::optional<TimePoint> earliest = m_timers.next();
+  if (const std::optional<TimePoint> idle = m_transactions.next_wakeup()) {
+    earliest = earliest.has_value() ? std::min(*earliest, *idle) : *idle;
+  }
+  return earliest;
+}
+
+void RequestService::route(Execution& execution, TimePoint now) {
+  const RouteDecision decision = m_router.route(execution, now);
+  if (const auto* local = std::get_if<RouteLocal>(&decision)) {
+    run_locally(execution, *local, now);
+  } else if (const auto* remote = std::get_if<RouteForward>(&decision)) {
+    forward(execution, remote->host, remote->target, remote->term, now);
+  } else if (const auto* waiting = std::get_if<RouteWait>(&decision)) {
+    wait(execution, waiting->reason, waiting->until, now);
+  } else {
+    refuse(execution, make_refusal(std::get<RouteRefuse>(decision).reason, Ran::kNo, "the group is not configured"),
+           now);
+  }
+}
+
+void RequestService::run_locally(Execution& execution, const RouteLocal& decision, TimePoint now) {
+  execution.member = decision.member;
+  execution.term = decision.term;
+  const RequestEnvelope& envelope = execution.envelope;
+  if (envelope.step == TransactionStep::kBegin) {
+    submit(execution, BeginTransaction{decision.term, envelope.read_only, envelope.request_id}, WorkPurpose::kBegin,
+           std::nullopt, now);
+    return;
+  }
+  if (m_shared_reads.join(execution, now)) {
+    return;
+  }
+  submit(execution, RunStatements{decision.term, envelope.statements, envelope.read_only, envelope.request_id},
+         WorkPurpose::kRun, std::nullopt, now);
+}
+
+void RequestService::forward(Execution& execution, const HostId& host, const std::optional<MemberId>& target, Term term,
+                             TimePoint now) {
+  const Duration remaining = execution.deadline - now - kForwardMargin;
+  if (remaining <= Duration::zero()) {
+    refuse(execution, execution.pending_refusal, now);
+    return;
+  }
+  RequestEnvelope envelope = execution.envelope;
+  envelope.hops += 1;
+  envelope.target = target;
+  envelope.term = term;
+  envelope.remaining = remaining;
+  execution.chart.fire(RequestEvent::kForward);
+  m_context.counters.count("requests_forwarded");
+  if (!m_sink.forward_request(execution.id, host, std::move(envelope), execution.deadline - now)) {
+    execution.excluded_hosts.insert(host);
+    retry(execution, RetryReason::kOwnerUnreachable, false, now);
+  }
+}
+
+void RequestService::wait(Execution& execution, RefusalReason reason, TimePoint until, TimePoint now) {
+  execution.pending_refusal = make_refusal(reason, Ran::kNo, "nothing could serve the request before its deadline");
+  if (now >= until) {
+    refuse(execution, execution.pending_refusal, now);
+    return;
+  }
+  execution.chart.fire(RequestEvent::kWait);
+  // Members that were unfit may have caught up by now.
+  execution.excluded_members.clear();
+  const bool for_primary = reason == RefusalReason::kNoPrimary || reason == RefusalReason::kNoMajority;
+  const Duration interval = for_primary ? kPrimaryPollInterval : kReplicaPollInterval;
+  m_timers.schedule(execution.id, std::min(until, now + interval));
+}
+
+void RequestService::retry(Execution& execution, RetryReason reason, bool from_budget, TimePoint now) {
+  ++execution.attempts;
+  if (execution.attempts >= kMaxAttempts) {
+    refuse(execution, execution.pending_refusal, now);
+    return;
+  }
+  if (from_budget && !m_retry_budget.try_spend()) {
+    refuse(execution,
+           make_refusal(RefusalReason::kRetryBudgetExhausted, execution.pending_refusal.ran,
+                        "a retry was due, but the retry budget is spent"),
+           now);
+    return;
+  }
+  m_context.counters.count_retry(reason);
+  execution.chart.fire(RequestEvent::kWait);
+  const Duration delay = retry_delay(execution.attempts - 1, m_context.random.next_unit());
+  m_timers.schedule(execution.id, std::min(execution.deadline, now + delay));
+}
+
+void RequestService::submit(Execution& execution, UpstreamOperation operation, WorkPurpose purpose,
+                            std::optional<ConnectionId> connection, TimePoint now) {
+  execution.chart.fire(purpose == WorkPurpose::kSettle ? RequestEvent::kSettle : RequestEvent::kEnqueue);
+  execution.purpose = purpose;
+  MemberExecutor* const executor = executor_of(execution);
+  if (executor == nullptr) {
+    on_refused_work(execution, WorkRefused{RefusalReason::kNoPrimary, std::nullopt}, now);
+    return;
+  }
+  MemberWork work = make_work(execution, std::move(operation), executor->durations(), connection, now);
+  const WorkId id = work.queued.id;
+  execution.work = id;
+  m_work.emplace(id, execution.id);
+  const auto admitted = executor->submit(std::move(work), now);
+  if (!admitted.has_value()) {
+    m_work.erase(id);
+    execution.work.reset();
+    on_refused_work(execution, admitted.error(), now);
+  }
+}
+
+MemberWork RequestService::make_work(const Execution& execution, UpstreamOperation operation,
+                                     const DurationEstimator& durations, std::optional<ConnectionId> connection,
+                                     TimePoint now) {
+  MemberWork work;
+  work.operation = std::move(operation);
+  work.connection = connection;
+  work.keep_connection = execution.purpose == WorkPurpose::kBegin || execution.purpose == WorkPurpose::kStep;
+  work.service = execution.envelope.service;
+  if (execution.purpose == WorkPurpose::kRun || execution.purpose == WorkPurpose::kStep) {
+    work.shape = shape_of(execution.envelope.statements);
+  }
+  QueuedWork& queued = work.queued;
+  queued.id = m_context.ids.next<WorkId>();
+  queued.urgency = execution.envelope.urgency;
+  queued.in_transaction = connection.has_value() || execution.purpose == WorkPurpose::kSettle;
+  queued.deadline = execution.deadline;
+  queued.expected = work.shape.empty() ? kSettleExpected : durations.expected(work.service, work.shape);
+  queued.is_long = !work.shape.empty() && durations.is_long(work.service, work.shape);
+  // A read may run again elsewhere, so its connection is given up early, but only once: an unknown long read would
+  // otherwise be cut off each time. A write keeps its connection for half of what is left, and the rest is for
+  // settling.
+  const Duration remaining = execution.deadline - now;
+  const Duration patience = std::max(m_context.settings.silent_after, queued.expected * kSilentFactor);
+  const bool gives_up_early = is_movable(execution.envelope) && execution.attempts == 0;
+  work.silent_after = gives_up_early ? std::min(patience, remaining) : remaining;
+  if (!execution.envelope.read_only && execution.purpose != WorkPurpose::kSettle) {
+    work.silent_after = std::max(remaining / 2, std::min(patience, remaining));
+  }
+  return work;
+}
+
+void RequestService::on_refused_work(Execution& execution, const WorkRefused& refused, TimePoint now) {
+  Refusal refusal = make_refusal(refused.reason, Ran::kNo, "the member's queue did not take the request");
+  refusal.retry_after = refused.retry_after;
+  execution.pending_refusal = refusal;
+  if (execution.purpose == WorkPurpose::kSettle) {
+    wake_at(execution, now + kSettleRetryDelay);
+    return;
+  }
+  m_shared_reads.on_failure(execution, SharedFailure::kExecution, now);
+  // A read may find room at another member, once; a write has nowhere else to go.
+  if (is_movable(execution.envelope) && execution.attempts == 0 && refused.reason == RefusalReason::kQueueFull) {
+    execution.excluded_members.insert(execution.member);
+    execution.envelope.target.reset();
+    retry(execution, RetryReason::kConnectFailed, true, now);
+    return;
+  }
+  refuse(execution, std::move(refusal), now);
+}
+
+void RequestService::on_work_failed(Execution& execution, const WorkEnded& ended, TimePoint now) {
+  const UpstreamError& error = ended.result.error();
+  const SharedFailure failure =
+      error.kind == UpstreamErrorKind::kStatementFailed ? SharedFailure::kStatement : SharedFailure::kExecution;
+  Refusal refusal = make_refusal(reason_of(error), error.may_have_run ? Ran::kUnknown : Ran::kNo, error.message);
+  refusal.sqlstate = error.sqlstate;
+  if (ended.silent) {
+    refusal.reason = RefusalReason::kUpstreamTimeout;
+  }
+  execution.pending_refusal = refusal;
+  m_shared_reads.on_failure(execution, failure, now);
+  if (error.kind == UpstreamErrorKind::kStatementFailed) {
+    refuse(execution, std::move(refusal), now);
+    return;
+  }
+  execution.envelope.target.reset();
+  if (error.kind == UpstreamErrorKind::kNotPrimaryInTerm) {
+    retry(execution, RetryReason::kPrimaryChanged, false, now);
+    return;
+  }
+  if (!error.may_have_run) {
+    if (is_movable(execution.envelope)) {
+      execution.excluded_members.insert(execution.member);
+    }
+    retry(execution, RetryReason::kConnectFailed, is_movable(execution.envelope), now);
+    return;
+  }
+  if (is_movable(execution.envelope)) {
+    execution.excluded_members.insert(execution.member);
+    retry(execution, ended.silent ? RetryReason::kSilentConnection : RetryReason::kConnectionLost, true, now);
+    return;
+  }
+  if (execution.purpose == WorkPurpose::kBegin) {
+    // Nothing but the beginning of a transaction can have run, and it ended with its connection.
+    refusal.ran = Ran::kNo;
+    refuse(execution, std::move(refusal), now);
+    return;
+  }
+  execution.may_have_run = true;
+  m_outcomes.settle(execution, now);
+}
+
+void RequestService::on_run_ended(Execution& execution, const StatementsResult& result, const WorkEnded& ended,
+                                  TimePoint now) {
+  if (GroupRuntime* runtime = m_groups.find(execution.envelope.group)) {
+    runtime->group().on_operation_report(execution.member, result.after, ended.started, now);
+  }
+  if (execution.envelope.read_only) {
+    on_read_ended(execution, result, ended, now);
+    return;
+  }
+  execution.may_have_run = true;
+  if (result.already_recorded) {
+    execution.pending_refusal =
+        make_refusal(RefusalReason::kDuplicateRequest, Ran::kUnknown, "a request with this id is recorded already");
+    m_outcomes.settle(execution, now);
+    return;
+  }
+  execution.answer.results = result.results;
+  execution.answer.served_by = execution.member;
+  execution.answer.by_primary = true;
+  execution.answer.request_id = execution.envelope.request_id;
+  m_outcomes.confirm(execution, result.after, ConfirmationPurpose::kWrite, now);
+}
+
+void RequestService::on_read_ended(Execution& execution, const StatementsResult& result, const WorkEnded& ended,
+                                   TimePoint now) {
+  if (execution.shared.has_value()) {
+    m_shared_reads.on_answer(execution, result, ended, now);
+    return;
+  }
+  const GroupRuntime* const runtime = m_groups.find(execution.envelope.group);
+  const bool confirmed_read = needs_confirmed_primary(execution.envelope);
+  ReadRequirement requirement{execution.envelope.session, execution.envelope.freshness, execution.envelope.max_age};
+  if (confirmed_read) {
+    requirement.freshness = Freshness::kFresh;
+  }
+  const bool acceptable =
+      runtime != nullptr && read_is_acceptable(runtime->group(), requirement, result.before, ended.started);
+  // The primary may be too new for the evidence of its age; a confirmation is stronger evidence.
+  const bool confirmable = confirmed_read ? acceptable : !acceptable && result.before.is_primary;
+  execution.answer.results = result.results;
+  execution.answer.served_by = execution.member;
+  execution.answer.by_primary = result.before.is_primary;
+  execution.answer.request_id = execution.envelope.request_id;
+  execution.answer.session = execution.envelope.session;
+  if (confirmable) {
+    m_outcomes.confirm(execution, result.after, ConfirmationPurpose::kRead, now);
+    return;
+  }
+  if (!acceptable) {
+    execution.pending_refusal =
+        make_refusal(RefusalReason::kNoFreshReplica, Ran::kNo, "the member did not satisfy the required freshness");
+    execution.excluded_members.insert(execution.member);
+    execution.envelope.target.reset();
+    retry(execution, RetryReason::kReplicaBehind, false, now);
+    return;
+  }
+  count_read(m_context.counters, execution);
+  succeed(execution, now);
+}
+
+void RequestService::on_deadline(Execution& execution, TimePoint now) {
+  switch (execution.chart.state()) {
+    case RequestState::kExecuting: {
+      MemberExecutor* const executor = executor_of(execution);
+      const bool withdrawn =
+          execution.work.has_value() && executor != nullptr && executor->withdraw(*execution.work, now);
+      if (withdrawn || (execution.shared.has_value() && !execution.work.has_value())) {
+        refuse(execution, make_refusal(RefusalReason::kQueueDeadline, Ran::kNo, "the deadline passed in the queue"),
+               now);
+        return;
+      }
+      refuse(execution,
+             make_refusal(RefusalReason::kUpstreamTimeout, Ran::kUnknown, "the upstream did not answer in time"), now);
+      return;
+    }
+    case RequestState::kConfirming:
+      refuse(execution,
+             make_refusal(RefusalReason::kConfirmationTimeout,
+                          execution.confirmation_purpose == ConfirmationPurpose::kRead ? Ran::kNo : Ran::kUnknown,
+                          "no majority confirmed before the deadline"),
+             now);
+      return;
+    case RequestState::kForwarded:
+      refuse(execution,
+             make_refusal(RefusalReason::kOwnerUnreachable, Ran::kUnknown, "the owner did not answer in time"), now);
+      return;
+    case RequestState::kSettling: {
+      Refusal refusal = execution.pending_refusal;
+      refusal.ran = Ran::kUnknown;
+      refuse(execution, std::move(refusal), now);
+      return;
+    }
+    default:
+      refuse(execution, execution.pending_refusal, now);
+  }
+}
+
+void RequestService::refuse(Execution& execution, Refusal refusal, TimePoint now) {
+  SessionPosition session = execution.envelope.session;
+  const bool write_unknown = refusal.ran == Ran::kUnknown && !execution.envelope.read_only;
+  if (write_unknown) {
+    session = m_outcomes.session_after_unknown(execution);
+  }
+  finish(execution, tl::unexpected(RefusedRequest{std::move(refusal), session}), now);
+}
+
+void RequestService::succeed(Execution& execution, TimePoint now) {
+  RequestAnswer answer = std::move(execution.answer);
+  finish(execution, std::move(answer), now);
+}
+
+void RequestService::finish(Execution& execution, RequestOutcome outcome, TimePoint now) {
+  execution.chart.fire(RequestEvent::kFinish);
+  detach(execution, now);
+  const auto node = m_executions.extract(execution.id);
+  const Execution& finished = node.mapped();
+  m_sink.finish_request(finished.origin, finished.envelope, std::move(outcome), now);
+}
+
+void RequestService::detach(Execution& execution, TimePoint now) {
+  m_timers.cancel(execution.id);
+  m_origins.erase(execution.origin);
+  if (execution.work.has_value()) {
+    // What still runs for nobody keeps its slot until it ends; its result is dropped.
+    m_work.erase(*execution.work);
+  }
+  m_outcomes.leave(execution);
+  if (execution.shared.has_value()) {
+    m_shared_reads.leave(execution, now);
+  }
+  m_transactions.leave(execution, now);
+}
+
+Execution* RequestService::find(ExecutionId id) {
+  const auto found = m_executions.find(id);
+  return found == m_executions.end() ? nullptr : &found->second;
+}
+
+MemberExecutor* RequestService::executor_of(const Execution& execution) {
+  GroupRuntime* const runtime = m_groups.find(execution.envelope.group);
+  return runtime == nullptr ? nullptr : runtime->find_executor(execution.member);
+}
+
+void RequestService::wake_at(const Execution& execution, TimePoint at) {
+  m_timers.schedule(execution.id, std::min(execution.deadline, at));
+}
+
+}  // namespace teaselrudder
--- /dev/null
+++ b/servers/host/timer_queue.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <map>
+#include <optional>
+#include <set>
+#include <utility>
+#include <vector>
+
+#include "core/time.h"
+
+namespace teaselrudder {
+
+/// Wake-up times by key; each key has at most one.
+template <typename Key>
+class TimerQueue {
+ public:
+  /// Sets the wake-up time of `key`, in place of an earlier one.
+  void schedule(const Key& key, TimePoint at) {
+    cancel(key);
+    m_times[key] = at;
+    m_order.insert({at, key});
+  }
+
+  /// Removes the wake-up time of `key`, if there is one.
+  void cancel(const Key& key) {
+    const auto found = m_times.find(key);
+    if (found == m_times.end()) {
+      return;
+    }
+    m_order.erase({found->second, key});
+    m_times.erase(found);
+  }
+
+  /// Removes and returns the keys whose time has come, the earliest first.
+  std::vector<Key> take_due(TimePoint now) {
+    std::vector<Key> due;
+    while (!m_order.empty() && m_order.begin()->first <= now) {
+      due.push_back(m_order.begin()->second);
+      m_times.erase(m_order.begin()->second);
+      m_order.erase(m_order.begin());
+    }
+    return due;
+  }
+
+  /// Returns the earliest wake-up time, if there is one.
+  std::optional<TimePoint> next() const {
+    if (m_order.empty()) {
+      return std::nullopt;
+    }
+    return m_order.begin()->first;
+  }
+
+ private:
+  std::map<Key, TimePoint> m_times;
+  std::set<std::pair<TimePoint, Key>> m_order;
+};
+
+}  // namespace teaselrudder
--- /dev/null
+++ b/servers/host/transaction_table.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "core/ids.h"
+#include "core/log_point.h"
+#include "core/request.h"
+#include "core/time.h"
+
+namespace teaselrudder {
+
+/// A transaction that is open on a connection of this host.
+struct OpenTransaction {
+  std::uint64_t number = 0;
+  ServiceName service;
+  GroupId group;
+  MemberId member;
+  ConnectionId connection;
+  Term term;
+  bool read_only = false;
+  RequestId request_id;
+  /// A step of the transaction is queued or running.
+  bool busy = false;
+  /// When the transaction is rolled back unless a step arrives.
+  TimePoint idle_deadline;
+};
+
+/// What a transaction handle says: the host that holds the transaction and its number there.
+struct TransactionAddress {
+  HostId host;
+  Incarnation incarnation;
+  std::uint64_t number = 0;
+};
+
+/// The open transactions of this host, and the signed handles that name them.
+class TransactionTable {
+ public:
+  /// Bound on open transactions; each holds a connection.
+  static constexpr std::size_t kMaxOpen = 4096;
+
+  TransactionTable(HostId self, Incarnation incarnation, std::string key);
+
+  /// Adds a transaction and returns its handle, or nothing if the table is full.
+  std::optional<TransactionHandle> add(OpenTransaction transaction);
+
+  /// Reads a handle of any host; nothing if it is malformed or its signature does not fit.
+  std::optional<TransactionAddress> read_handle(const TransactionHandle& handle) const;
+
+  /// Returns the transaction at `address`, or null if this host does not hold it.
+  OpenTransaction* find(const TransactionAddress& address);
+
+  /// Forgets a transaction.
+  void remove(std::uint64_t number) { m_transactions.erase(number); }
+
+  /// Removes and returns the transactions that are idle for too long.
+  std::vector<OpenTransaction> take_idle(TimePoint now);
+
+  /// Returns the earliest idle deadline, if a transaction is idle.
+  std::optional<TimePoint> next_deadline() const;
+
+  std::size_t size() const { return m_transactions.size(); }
+
+ private:
+  HostId m_self;
+  Incarnation m_incarnation;
+  std::string m_key;
+  std::uint64_t m_last_number = 0;
+  std::map<std::uint64_t, OpenTransaction> m_transactions;
+};
+
+}  // namespace teaselrudder
