Add the scheduling decisions

Cause: members run about 3 statements at once, and load varies widely within seconds, so the owner has to choose what runs next and refuse early what cannot run in time. Ruled out: counting starts for the weights (a class of long work would take most of the slot time); a fixed correction for later urgent arrivals (the quotient of observed and predicted waits learns it); dropping work that is late by its estimate (a wrong estimate would keep a shape out for good, so late work fills idle slots instead).

--- a/servers/scheduling/member_queue.h
+++ b/servers/scheduling/member_queue.h
@@ -7,12 +7,14 @@
 #include <optional>
 #include <set>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "core/refusal.h"
 #include "core/request.h"
 #include "core/strong_type.h"
 #include "core/time.h"
+#include "servers/scheduling/moving_ratio.h"
 #include "tl/expected.hpp"
 
 namespace teaselrudder {
@@ -96,7 +98,7 @@
  private:
   static constexpr std::size_t kUrgencyCount = 3;
 
-  /// Place in the order within one urgency: ascending rank, then order of arrival.
+  /// Place in the order within one lane: ascending rank, then order of arrival.
   struct Place {
     TimePoint rank;
     std::uint64_t sequence = 0;
@@ -105,14 +107,17 @@
     friend auto operator<=>(const Place&, const Place&) = default;
   };
 
-  /// The four orders of one urgency; long work is kept apart because it may have to let short work pass.
+  /// The orders of one urgency; long work is kept apart because it may have to let short work pass.
   enum Lane : std::uint8_t { kTransactionShort, kTransactionLong, kNewShort, kNewLong };
   static constexpr std::size_t kLaneCount = 4;
+  using Lanes = std::array<std::set<Place>, kLaneCount>;
 
   struct Item {
     QueuedWork work;
     Place place;
-    /// The item cannot finish before its deadline if the estimate holds; it only fills an otherwise idle slot.
+    TimePoint enqueued_at;
+    Duration predicted_wait{0};
+    /// Not expected to finish before its deadline any more; it only fills a slot that would be idle otherwise.
     bool late = false;
   };
 
@@ -121,48 +126,58 @@
     Duration expected{0};
     bool is_long = false;
     TimePoint started_at;
+    Duration charged{0};
   };
 
   struct UrgencyClass {
-    std::array<std::set<Place>, kLaneCount> lanes;
-    std::array<std::set<Place>, kLaneCount> late_lanes;
-    /// Slot time used, multiplied by the inverse of the weight.
+    Lanes lanes;
+    Lanes late_lanes;
+    /// Slot time of finished work, divided by the weight.
     Duration pass{0};
-    /// The same measure for the expected slot time of running work.
+    /// Expected slot time of running work, divided by the weight.
     Duration running_pass{0};
     /// Transaction statements started in a row while new work waited.
     std::uint32_t transaction_run = 0;
+    /// Corrects the predicted wait, mainly for more urgent work that arrives later.
+    MovingRatio wait_correction{1.0, 16.0};
   };
 
   struct Candidate {
     Urgency urgency = Urgency::kNormal;
     Lane lane = kNewShort;
-    Place place;
+    WorkId id;
   };
 
   static Lane lane_of(const QueuedWork& work);
+  static std::optional<Lane> first_lane(const Lanes& lanes, bool long_allowed, std::uint32_t transaction_run);
   UrgencyClass& class_of(Urgency urgency) { return m_classes[static_cast<std::size_t>(urgency)]; }
   const UrgencyClass& class_of(Urgency urgency) const { return m_classes[static_cast<std::size_t>(urgency)]; }
 
-  TimePoint rank_of(const QueuedWork& work, TimePoint now) const;
-  Duration calibrated(Duration expected) const;
-  Duration remaining(const Running& running, TimePoint now) const;
-  std::uint32_t max_long() const;
-  std::size_t running_long(TimePoint now) const;
-
-  /// Expected time until `work_ahead` of slot time has been worked off and a slot is free.
-  Duration drain_time(Duration work_ahead, bool long_only, TimePoint now) const;
-  Duration wait_of(const QueuedWork& work, const Place& place, TimePoint now) const;
-  Duration work_of_others(Urgency urgency, Duration own) const;
-  Duration queued_work(Urgency urgency) const;
+  /// Admission.
+  Place place_of(const QueuedWork& work, TimePoint now) const;
+  bool fits(const QueuedWork& work, Duration wait, TimePoint now) const;
   bool displace_background();
+  void insert(const QueuedWork& work, const Place& place, Duration wait, TimePoint now);
+  Duration time_to_shorten() const;
 
+  /// Forecast.
+  Duration remaining(const Running& running, TimePoint now) const;
+  bool counts_as_long(const Running& running, TimePoint now) const;
+  std::vector<Duration> ready_times(bool of_long, bool of_short, TimePoint now) const;
+  Duration work_ahead(const QueuedWork& work, const Place& place, bool with_long, bool with_short) const;
+  Duration work_of_others(Urgency urgency, Duration own, bool with_long, bool with_short) const;
+  Duration predict_wait(const QueuedWork& work, const Place& place, TimePoint now) const;
+
+  /// Choice of the next item.
+  Duration effective_pass(const UrgencyClass& urgency_class) const;
+  std::uint32_t max_long() const;
+  bool long_may_start(TimePoint now) const;
   void move_late_items(UrgencyClass& urgency_class, TimePoint now);
-  std::optional<Lane> first_lane(const std::array<std::set<Place>, kLaneCount>& lanes, bool long_allowed,
-                                 std::uint32_t transaction_run) const;
   std::optional<Candidate> choose_on_time(bool long_allowed, TimePoint now);
   std::optional<Candidate> choose_late(bool long_allowed) const;
   void start(const Candidate& candidate, TimePoint now);
+
+  void expire(TimePoint now);
   void erase(WorkId id);
 
   QueueLimits m_limits;
@@ -170,12 +185,13 @@
   std::unordered_map<WorkId, Item> m_items;
   std::set<std::pair<TimePoint, WorkId>> m_deadlines;
   std::map<WorkId, Running> m_running;
-  std::vector<WorkId> m_displaced;
+  /// Items that will not run and that take_expired() has not returned yet.
+  std::vector<WorkId> m_not_run;
+  /// Pass of the class that started work last; an idle class is lifted to it and saves up nothing.
   Duration m_virtual_time{0};
   std::uint64_t m_next_sequence = 0;
-  /// Moving sums of actual and expected durations; their quotient corrects estimates that are wrong on the whole.
-  double m_actual_sum = 0;
-  double m_expected_sum = 0;
+  /// Corrects expected durations that are wrong on the whole.
+  MovingRatio m_duration_correction{1.0 / 16, 16.0};
 };
 
 }  // namespace teaselrudder
--- a/servers/scheduling/shared_reads.h
+++ b/servers/scheduling/shared_reads.h
@@ -73,7 +73,7 @@
   /// Waiters of one execution, so that one answer does not hold up the event loop.
   static constexpr std::size_t kMaxWaiters = 1024;
   /// Longer statement texts and parameters are not shared, which bounds the memory of the keys.
-  static constexpr std::size_t kMaxKeyLength = 16 * 1024;
+  static constexpr std::size_t kMaxKeyLength = 16384;
 
   /// Tells whether the answer may be given to the waiter: its session position is satisfied by the member's status
   /// before the read ran, and a sample not older than `max_age` at the time `as_of` is too.
