Drive entry hosts, members and faults under virtual time

Cause: the entry host had no test. HostWorld joins hosts, members and links in one process with virtual time; the tests bring about a lost primary, cuts, silent connections, lost answers, hosts that die, pause or stop, and a random run beside a naive list of acknowledged writes. Found by it, each first seen failing: two wake-up times that stayed in the past and kept the loop busy (a pool that waits for a connection, a draining stop), and writes refused after 8 quick attempts while a failover was still running. Ruled out: a fixed number of attempts for requests that certainly did not run; their deadline and delay bound them.

--- /dev/null
+++ b/misc/measure/host_world.h
@@ -0,0 +1,673 @@
+#pragma once
+
+#include <algorithm>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <set>
+#include <stdexcept>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "core/overloaded.h"
+#include "misc/measure/member_model.h"
+#include "servers/host/entry_host.h"
+
+// Header-only, because both the measurement programs and the tests use it.
+namespace teaselrudder::model {
+
+/// Settings of a world of hosts and members under virtual time.
+struct WorldOptions {
+  std::size_t domains = 3;
+  std::size_t hosts_per_domain = 2;
+  Duration latency = std::chrono::microseconds(1500);
+  Duration local_latency = std::chrono::microseconds(100);
+  Duration connect_cost = std::chrono::milliseconds(10);
+  Duration service_time = std::chrono::milliseconds(1);
+  Duration replication_interval = std::chrono::milliseconds(2);
+  std::uint32_t slots = 3;
+  std::uint32_t connections = 20;
+  std::uint64_t seed = 1;
+};
+
+/// What became of a caller's request.
+using CallerOutcome = tl::expected<CallerAnswer, CallerRefusal>;
+
+/// What a record of a member's log changes: appends `value` to the text under `key`. A void record changes nothing.
+struct WrittenRecord {
+  RequestId request;
+  bool is_void = false;
+  std::vector<std::pair<std::string, std::string>> appends;
+};
+
+/// Entry hosts in several failure domains before one group with a member in each, under virtual time.
+class HostWorld {
+ public:
+  explicit HostWorld(const WorldOptions& options) : m_options(options), m_random(options.seed) {
+    m_configuration = make_configuration();
+    m_members.resize(options.domains);
+    for (std::size_t index = 0; index < options.domains; ++index) {
+      replicate(index);
+    }
+    for (std::size_t index = 0; index < options.domains * options.hosts_per_domain; ++index) {
+      m_nodes.push_back(std::make_unique<Node>(*this, index));
+      start_host(index);
+    }
+  }
+
+  TimePoint now() const { return m_now; }
+  std::size_t hosts() const { return m_nodes.size(); }
+  EntryHost& host(std::size_t index) { return *m_nodes[index]->host; }
+  const Counters& counters(std::size_t index) const { return m_nodes[index]->counters; }
+  MemberModel& member(std::size_t index) { return m_members[index].model; }
+  Configuration& configuration() { return m_configuration; }
+
+  /// Runs all events of the next `duration`.
+  void run_for(Duration duration) {
+    const TimePoint end = m_now + duration;
+    while (!m_events.empty() && m_events.begin()->first <= end) {
+      auto event = m_events.extract(m_events.begin());
+      m_now = event.key();
+      event.mapped()();
+    }
+    m_now = end;
+  }
+
+  /// Runs until `done` or for at most `limit`; returns whether `done` became true.
+  bool run_until(const std::function<bool()>& done, Duration limit) {
+    const TimePoint end = m_now + limit;
+    while (!done() && m_now < end) {
+      run_for(std::chrono::milliseconds(1));
+    }
+    return done();
+  }
+
+  /// Runs until a write through host 0 succeeds.
+  void wait_until_ready() {
+    for (int attempt = 0; attempt < 20; ++attempt) {
+      const std::size_t write = submit(0, write_request("ready", "x"));
+      run_until([&] { return outcome(write).has_value(); }, std::chrono::seconds(11));
+      if (outcome(write).has_value() && outcome(write)->has_value()) {
+        return;
+      }
+    }
+    throw std::runtime_error("the group never became ready");
+  }
+
+  static Request write_request(const std::string& key, const std::string& value) {
+    Request request;
+    request.service = ServiceName("s");
+    request.statements = {{"append", {key, value}}};
+    return request;
+  }
+
+  static Request read_request(const std::string& key, Freshness freshness) {
+    Request request;
+    request.service = ServiceName("s");
+    request.statements = {{"read", {key}}};
+    request.freshness = freshness;
+    request.read_only = true;
+    return request;
+  }
+
+  /// Sends a caller's request to a host; returns its number for outcome().
+  std::size_t submit(std::size_t host_index, Request request) {
+    const std::size_t number = m_outcomes.size();
+    m_outcomes.emplace_back();
+    Node& node = *m_nodes[host_index];
+    deliver(host_index, node.life, [this, &node, number, request = std::move(request)] {
+      node.host->on_caller_request(CallerRequestId(number + 1), request, m_now);
+    });
+    return number;
+  }
+
+  /// Returns the outcome of a request, or nothing while it has none.
+  const std::optional<CallerOutcome>& outcome(std::size_t number) const { return m_outcomes[number]; }
+
+  /// Ends a host at once. Its connections close.
+  void kill_host(std::size_t index) {
+    Node& node = *m_nodes[index];
+    ++node.life;
+    node.alive = false;
+    node.host.reset();
+  }
+
+  /// Starts a host anew, without any memory.
+  void start_host(std::size_t index) {
+    Node& node = *m_nodes[index];
+    ++node.life;
+    node.alive = true;
+    HostSettings settings;
+    settings.self = record_of(index);
+    settings.self.incarnation = Incarnation(node.life);
+    settings.token_key = "key";
+    settings.random_seed = m_random();
+    settings.stop_announcement = std::chrono::milliseconds(200);
+    node.host = std::make_unique<EntryHost>(settings, HostPorts{node, node, node, node, node, node, node},
+                                            load_host_charts(CompiledChartSource()).value(), node.counters, m_now);
+    for (std::size_t other = 0; other < m_options.domains * m_options.hosts_per_domain; ++other) {
+      if (other != index) {
+        node.host->add_known_host(record_of(other), m_now);
+      }
+    }
+    node.host->adopt_configuration(m_configuration, "test", m_now);
+    schedule_tick(index);
+  }
+
+  /// Stops a host for `duration`. What arrives meanwhile is delivered afterwards.
+  void pause_host(std::size_t index, Duration duration) {
+    m_nodes[index]->paused_until = std::max(m_nodes[index]->paused_until, m_now + duration);
+  }
+
+  /// Ends or starts a member. Its log survives.
+  void set_member_up(std::size_t index, bool up) {
+    m_members[index].up = up;
+    if (!up) {
+      lose_connections(index);
+    }
+  }
+
+  /// Makes all present connections to a member silent; new ones work.
+  void silence_connections(std::size_t index) {
+    for (auto& [id, connection] : m_connections) {
+      connection.silent = connection.silent || connection.member == index;
+    }
+  }
+
+  void set_replication_delay(std::size_t index, Duration delay) { m_members[index].replication_delay = delay; }
+  void set_service_time(Duration time) { m_options.service_time = time; }
+
+  /// Cuts or restores all links between a failure domain and the others.
+  void isolate(std::size_t domain, bool cut) {
+    for (std::size_t other = 0; other < m_options.domains; ++other) {
+      if (other != domain && cut) {
+        m_cuts.insert({domain, other});
+        m_cuts.insert({other, domain});
+      } else if (other != domain) {
+        m_cuts.erase({domain, other});
+        m_cuts.erase({other, domain});
+      }
+    }
+  }
+
+  /// Returns the member that leads in the highest term, if one does.
+  std::optional<std::size_t> primary() const {
+    std::optional<std::size_t> found;
+    for (std::size_t index = 0; index < m_members.size(); ++index) {
+      const bool leads = m_members[index].up && m_members[index].model.is_primary();
+      const bool newer =
+          !found.has_value() || m_members[index].model.raised_term() > m_members[*found].model.raised_term();
+      if (leads && newer) {
+        found = index;
+      }
+    }
+    return found;
+  }
+
+  /// Returns the text under `key` in the log of a member, including records not yet replayed.
+  std::string stored(std::size_t member_index, const std::string& key) const {
+    std::vector<std::uint64_t> ids;
+    for (const Record& record : m_members[member_index].model.log()) {
+      ids.push_back(record.id);
+    }
+    return value_of(ids, key);
+  }
+
+ private:
+  struct Member {
+    MemberModel model;
+    bool up = true;
+    Duration replication_delay{0};
+  };
+
+  struct Connection {
+    std::size_t host = 0;
+    std::uint64_t life = 0;
+    std::size_t member = 0;
+    bool open = false;
+    bool silent = false;
+    std::optional<WrittenRecord> transaction;
+    Term transaction_term;
+  };
+
+  /// One host with its outside.
+  struct Node : CallerPort, UpstreamPort, PeerPort, StorePort, HostListPort, OperatorPort, EventLogPort {
+    Node(HostWorld& owner, std::size_t host_index) : world(owner), index(host_index) {}
+
+    void answer(CallerRequestId request, CallerOutcome outcome) override {
+      world.m_outcomes[request.value() - 1] = std::move(outcome);
+    }
+    void open_connection(ConnectionId connection, const Endpoint& upstream) override {
+      world.open_connection(index, connection, upstream);
+    }
+    void execute(ConnectionId connection, OperationId operation, UpstreamOperation details) override {
+      world.execute(index, connection, operation, std::move(details));
+    }
+    void close_connection(ConnectionId connection) override { world.m_connections.erase({index, connection}); }
+    void call(PeerCallId call, const Endpoint& peer, PeerRequest request, Duration timeout) override {
+      world.call_peer(index, call, peer, std::move(request), timeout);
+    }
+    void answer(PeerCallId call, PeerResponse response) override {
+      world.answer_peer(index, call, std::move(response));
+    }
+    void get(StoreCallId /*call*/, const std::string& /*key*/) override {}
+    void compare_and_swap(StoreCallId /*call*/, const std::string& /*key*/, StoreRevision /*expected*/,
+                          const std::string& /*value*/) override {}
+    void watch(WatchId /*watch*/, const std::string& /*key*/, StoreRevision /*from*/) override {}
+    void cancel_watch(WatchId /*watch*/) override {}
+    void fetch_host_list() override {}
+    void answer(OperatorRequestId /*request*/, OperatorAnswer /*answer*/) override {}
+    void log_state_change(std::string_view /*event*/, const LogFields& /*fields*/) override {}
+
+    HostWorld& world;
+    std::size_t index;
+    Counters counters;
+    std::unique_ptr<EntryHost> host;
+    bool alive = false;
+    std::uint64_t life = 0;
+    std::uint64_t tick = 0;
+    TimePoint last_tick;
+    int ticks_now = 0;
+    TimePoint paused_until;
+  };
+
+  using ConnectionKey = std::pair<std::size_t, ConnectionId>;
+
+  /// A call that waits for the answer of the called host.
+  struct PeerCall {
+    std::size_t caller = 0;
+    std::uint64_t life = 0;
+    PeerCallId id;
+  };
+
+  std::size_t domain_of_host(std::size_t host_index) const { return host_index / m_options.hosts_per_domain; }
+  bool is_cut(std::size_t from, std::size_t to) const { return m_cuts.contains({from, to}); }
+
+  Duration link_delay(std::size_t from, std::size_t to) {
+    const Duration base = from == to ? m_options.local_latency : m_options.latency;
+    return base + Duration(static_cast<Duration::rep>(m_random() % 100));
+  }
+
+  HostRecord record_of(std::size_t index) const {
+    HostRecord record;
+    record.host = HostId("h" + std::to_string(index));
+    record.failure_domain = FailureDomainId("d" + std::to_string(domain_of_host(index)));
+    record.peer_endpoint = {"127.0.0.1", static_cast<std::uint16_t>(1000 + index)};
+    return record;
+  }
+
+  Configuration make_configuration() const {
+    Configuration configuration;
+    configuration.version = ConfigurationVersion(1);
+    GroupConfiguration group{GroupId("g"), {}};
+    for (std::size_t index = 0; index < m_options.domains; ++index) {
+      MemberConfiguration member;
+      member.id = MemberId("m" + std::to_string(index));
+      member.endpoint = {"127.0.0.1", static_cast<std::uint16_t>(2000 + index)};
+      member.failure_domain = FailureDomainId("d" + std::to_string(index));
+      member.slots = m_options.slots;
+      member.connections = m_options.connections;
+      group.members.push_back(member);
+    }
+    configuration.groups.emplace(group.id, group);
+    ServiceConfiguration service;
+    service.name = ServiceName("s");
+    service.group = group.id;
+    configuration.services.emplace(service.name, service);
+    return configuration;
+  }
+
+  void at(TimePoint time, std::function<void()> event) { m_events.emplace(time, std::move(event)); }
+
+  // Delivers to a host, after its pause if it is paused, unless that life of it has ended.
+  void deliver(std::size_t index, std::uint64_t life, const std::function<void()>& event) {
+    Node& node = *m_nodes[index];
+    if (node.life != life || !node.alive) {
+      return;
+    }
+    if (m_now < node.paused_until) {
+      at(node.paused_until, [=, this] { deliver(index, life, event); });
+      return;
+    }
+    event();
+    schedule_tick(index);
+  }
+
+  void schedule_tick(std::size_t index) {
+    Node& node = *m_nodes[index];
+    const std::uint64_t tick = ++node.tick;
+    const std::uint64_t life = node.life;
+    at(std::max(m_now, node.host->next_wakeup()), [=, this] {
+      if (m_nodes[index]->tick == tick) {
+        check_progress(index);
+        deliver(index, life, [=, this] { m_nodes[index]->host->on_tick(m_now); });
+      }
+    });
+  }
+
+  // A host whose next wake-up is always due would keep a real process busy for nothing.
+  void check_progress(std::size_t index) {
+    constexpr int kMaxTicksAtOnce = 1000;
+    Node& node = *m_nodes[index];
+    node.ticks_now = node.last_tick == m_now ? node.ticks_now + 1 : 0;
+    node.last_tick = m_now;
+    if (node.ticks_now > kMaxTicksAtOnce) {
+      throw std::runtime_error("host " + std::to_string(index) + " wakes up again and again without progress");
+    }
+  }
+
+  void lose_connections(std::size_t member_index) {
+    for (auto entry = m_connections.begin(); entry != m_connections.end();) {
+      if (entry->second.member != member_index) {
+        ++entry;
+        continue;
+      }
+      const auto [host_index, id] = entry->first;
+      const std::uint64_t life = entry->second.life;
+      const bool notify = entry->second.open && !is_cut(member_index, domain_of_host(host_index));
+      entry = m_connections.erase(entry);
+      if (notify) {
+        at(m_now + link_delay(member_index, domain_of_host(host_index)), [=, this, host_index = host_index, id = id] {
+          deliver(host_index, life, [=, this] { m_nodes[host_index]->host->on_upstream_closed(id, m_now); });
+        });
+      }
+    }
+  }
+
+  void open_connection(std::size_t host_index, ConnectionId id, const Endpoint& upstream) {
+    const std::size_t member_index = upstream.port - 2000U;
+    const std::size_t domain = domain_of_host(host_index);
+    const std::uint64_t life = m_nodes[host_index]->life;
+    m_connections[{host_index, id}] = Connection{host_index, life, member_index, false, false, std::nullopt, Term()};
+    if (is_cut(domain, member_index)) {
+      return;
+    }
+    at(m_now + m_options.connect_cost + link_delay(domain, member_index), [=, this] {
+      const auto found = m_connections.find({host_index, id});
+      if (found == m_connections.end() || is_cut(domain, member_index)) {
+        return;
+      }
+      const auto open =
+          static_cast<std::size_t>(std::count_if(m_connections.begin(), m_connections.end(), [&](const auto& entry) {
+            return entry.second.member == member_index && entry.second.open;
+          }));
+      tl::expected<void, UpstreamError> result;
+      if (!m_members[member_index].up || open >= m_options.connections) {
+        UpstreamError error;
+        error.kind =
+            m_members[member_index].up ? UpstreamErrorKind::kTooManyConnections : UpstreamErrorKind::kConnectFailed;
+        error.may_have_run = false;
+        result = tl::unexpected(error);
+        m_connections.erase(found);
+      } else {
+        found->second.open = true;
+      }
+      deliver(host_index, life, [=, this] { m_nodes[host_index]->host->on_upstream_opened(id, result, m_now); });
+    });
+  }
+
+  void execute(std::size_t host_index, ConnectionId id, OperationId operation, UpstreamOperation details) {
+    const auto found = m_connections.find({host_index, id});
+    if (found == m_connections.end() || found->second.silent) {
+      return;
+    }
+    const std::size_t member_index = found->second.member;
+    const std::size_t domain = domain_of_host(host_index);
+    const std::uint64_t life = found->second.life;
+    if (is_cut(domain, member_index)) {
+      return;
+    }
+    const bool is_statement =
+        std::holds_alternative<RunStatements>(details) || std::holds_alternative<RunInTransaction>(details);
+    const Duration service = is_statement ? m_options.service_time : Duration(50);
+    at(m_now + link_delay(domain, member_index) + service, [=, this, details = std::move(details)] {
+      if (!m_members[member_index].up || is_cut(domain, member_index)) {
+        return;
+      }
+      // The member carries the operation out even if nobody waits for the result any more.
+      Connection gone;
+      const auto connection = m_connections.find({host_index, id});
+      Connection& state = connection == m_connections.end() ? gone : connection->second;
+      const tl::expected<UpstreamResult, UpstreamError> result = carry_out(member_index, state, details);
+      if (is_cut(member_index, domain) || state.silent) {
+        return;
+      }
+      at(m_now + link_delay(member_index, domain), [=, this] {
+        if (!m_connections.contains({host_index, id})) {
+          return;
+        }
+        deliver(host_index, life, [=, this] {
+          if (m_connections.contains({host_index, id})) {
+            m_nodes[host_index]->host->on_upstream_completed(id, operation, result, m_now);
+          }
+        });
+      });
+    });
+  }
+
+  static tl::unexpected<UpstreamError> not_primary() {
+    UpstreamError error;
+    error.kind = UpstreamErrorKind::kNotPrimaryInTerm;
+    error.may_have_run = false;
+    return tl::unexpected(error);
+  }
+
+  tl::expected<UpstreamResult, UpstreamError> carry_out(std::size_t member_index, Connection& connection,
+                                                        const UpstreamOperation& operation) {
+    using Result = tl::expected<UpstreamResult, UpstreamError>;
+    MemberModel& model = m_members[member_index].model;
+    return std::visit(
+        Overloaded{
+            [&](const ReportStatus&) -> Result { return StatusResult{model.status()}; },
+            [&](const RaiseTerm& raise) -> Result { return model.raise_term(raise.term, raise.candidate); },
+            [&](const Promote& promote) -> Result { return model.promote(promote.term, promote.candidate); },
+            [&](const Follow& follow) -> Result { return model.follow(follow.term, follow.primary.port - 2000U); },
+            [&](const RunStatements& run) -> Result {
+              return run.read_only ? read(model, run.statements)
+                                   : write(model, run.term, {run.request_id, false, appends_of(run.statements)});
+            },
+            [&](const SettleRequest& settle) -> Result { return this->settle(model, settle); },
+            [&](const BeginTransaction& begin) -> Result {
+              StatementsResult result;
+              result.already_recorded = find_record(model, begin.request_id) != nullptr;
+              if (!model.is_primary() || model.raised_term() != begin.term) {
+                return not_primary();
+              }
+              connection.transaction = WrittenRecord{begin.request_id, false, {}};
+              connection.transaction_term = begin.term;
+              return result;
+            },
+            [&](const RunInTransaction& run) -> Result {
+              const auto appends = appends_of(run.statements);
+              if (connection.transaction.has_value()) {
+                connection.transaction->appends.insert(connection.transaction->appends.end(), appends.begin(),
+                                                       appends.end());
+              }
+              return read(model, run.statements);
+            },
+            [&](const CommitTransaction&) -> Result {
+              if (!connection.transaction.has_value()) {
+                return not_primary();
+              }
+              return write(model, connection.transaction_term, *std::exchange(connection.transaction, std::nullopt));
+            },
+            [&](const RollbackTransaction&) -> Result {
+              connection.transaction.reset();
+              return StatementsResult{};
+            },
+        },
+        operation);
+  }
+
+  static std::vector<std::pair<std::string, std::string>> appends_of(const std::vector<Statement>& statements) {
+    std::vector<std::pair<std::string, std::string>> appends;
+    for (const Statement& statement : statements) {
+      if (statement.sql == "append") {
+        appends.emplace_back(statement.parameters.at(0).value(), statement.parameters.at(1).value());
+      }
+    }
+    return appends;
+  }
+
+  const WrittenRecord* find_record(const MemberModel& model, const RequestId& request) const {
+    for (const Record& record : model.log()) {
+      const auto written = m_records.find(record.id);
+      if (written != m_records.end() && written->second.request == request) {
+        return &written->second;
+      }
+    }
+    return nullptr;
+  }
+
+  std::string value_of(const std::vector<std::uint64_t>& ids, const std::string& key) const {
+    std::string value;
+    for (const std::uint64_t id : ids) {
+      const auto written = m_records.find(id);
+      if (written == m_records.end()) {
+        continue;
+      }
+      for (const auto& [written_key, appended] : written->second.appends) {
+        value += written_key == key ? appended : "";
+      }
+    }
+    return value;
+  }
+
+  tl::expected<UpstreamResult, UpstreamError> read(const MemberModel& model, const std::vector<Statement>& statements) {
+    StatementsResult result;
+    result.before = model.status();
+    for (const Statement& statement : statements) {
+      if (statement.sql == "read") {
+        const std::string value = value_of(model.visible(), statement.parameters.at(0).value());
+        result.results.push_back({{"value"}, {{value}}, 0});
+      }
+    }
+    result.after = result.before;
+    return result;
+  }
+
+  tl::expected<UpstreamResult, UpstreamError> write(MemberModel& model, Term term, const WrittenRecord& record) {
+    StatementsResult result;
+    result.before = model.status();
+    if (!model.is_primary() || model.raised_term() != term) {
+      return not_primary();
+    }
+    if (find_record(model, record.request) != nullptr) {
+      result.already_recorded = true;
+    } else {
+      const std::uint64_t id = ++m_last_record;
+      m_records.emplace(id, record);
+      model.write(term, id);
+    }
+    result.after = model.status();
+    return result;
+  }
+
+  tl::expected<UpstreamResult, UpstreamError> settle(MemberModel& model, const SettleRequest& request) {
+    if (!model.is_primary() || model.raised_term() != request.term) {
+      return not_primary();
+    }
+    SettleResult result;
+    if (const WrittenRecord* record = find_record(model, request.request_id)) {
+      result.ran = !record->is_void;
+    } else {
+      write(model, request.term, {request.request_id, true, {}});
+    }
+    result.after = model.status();
+    return result;
+  }
+
+  void call_peer(std::size_t caller, PeerCallId id, const Endpoint& peer, PeerRequest request, Duration timeout) {
+    const std::size_t target = peer.port - 1000U;
+    const std::uint64_t life = m_nodes[caller]->life;
+    const std::size_t from = domain_of_host(caller);
+    const std::size_t to = domain_of_host(target);
+    at(m_now + timeout, [=, this] {
+      finish_call(caller, life, id, tl::unexpected(PeerError{PeerErrorKind::kTimeout, true, ""}));
+    });
+    if (is_cut(from, to)) {
+      return;
+    }
+    m_pending_calls.insert({caller, id});
+    at(m_now + link_delay(from, to), [=, this, request = std::move(request)] {
+      if (is_cut(from, to)) {
+        return;
+      }
+      if (!m_nodes[target]->alive) {
+        finish_call(caller, life, id, tl::unexpected(PeerError{PeerErrorKind::kUnreachable, false, ""}));
+        return;
+      }
+      const PeerCallId incoming(++m_last_incoming);
+      m_incoming[incoming] = {caller, life, id};
+      deliver(target, m_nodes[target]->life,
+              [=, this] { m_nodes[target]->host->on_peer_request(incoming, request, m_now); });
+    });
+  }
+
+  void answer_peer(std::size_t responder, PeerCallId incoming, PeerResponse response) {
+    const auto found = m_incoming.find(incoming);
+    if (found == m_incoming.end()) {
+      return;
+    }
+    const PeerCall call = found->second;
+    m_incoming.erase(found);
+    const std::size_t from = domain_of_host(responder);
+    const std::size_t to = domain_of_host(call.caller);
+    if (is_cut(from, to)) {
+      return;
+    }
+    at(m_now + link_delay(from, to),
+       [=, this, response = std::move(response)] { finish_call(call.caller, call.life, call.id, response); });
+  }
+
+  void finish_call(std::size_t caller, std::uint64_t life, PeerCallId id,
+                   const tl::expected<PeerResponse, PeerError>& outcome) {
+    const bool timed_out = !outcome.has_value() && outcome.error().kind == PeerErrorKind::kTimeout;
+    if (m_pending_calls.erase({caller, id}) == 0 && !timed_out) {
+      return;
+    }
+    deliver(caller, life, [=, this] { m_nodes[caller]->host->on_peer_answered(id, outcome, m_now); });
+  }
+
+  // Sends the replica what it lacks, every replication interval.
+  void replicate(std::size_t index) {
+    at(m_now + m_options.replication_interval, [=, this] { replicate(index); });
+    const std::optional<std::size_t> source = m_members[index].model.source();
+    const bool connected =
+        source.has_value() && m_members[index].up && m_members[*source].up && !is_cut(*source, index);
+    const std::optional<LogSegment> segment =
+        connected ? m_members[*source].model.segment_for(m_members[index].model) : std::nullopt;
+    if (!segment.has_value()) {
+      return;
+    }
+    at(m_now + link_delay(*source, index) + m_members[index].replication_delay, [=, this] {
+      if (m_members[index].up && !is_cut(*source, index)) {
+        m_members[index].model.receive(*segment);
+      }
+    });
+  }
+
+  WorldOptions m_options;
+  std::mt19937_64 m_random;
+  Configuration m_configuration;
+  std::vector<Member> m_members;
+  TimePoint m_now{std::chrono::hours(1)};
+  std::multimap<TimePoint, std::function<void()>> m_events;
+  std::set<std::pair<std::size_t, std::size_t>> m_cuts;
+  std::map<ConnectionKey, Connection> m_connections;
+  std::map<std::uint64_t, WrittenRecord> m_records;
+  std::uint64_t m_last_record = 0;
+  std::vector<std::optional<CallerOutcome>> m_outcomes;
+  std::set<std::pair<std::size_t, PeerCallId>> m_pending_calls;
+  std::map<PeerCallId, PeerCall> m_incoming;
+  std::uint64_t m_last_incoming = 0;
+  // Last, because the hosts close their connections when they end.
+  std::vector<std::unique_ptr<Node>> m_nodes;
+};
+
+}  // namespace teaselrudder::model
--- a/servers/host/connection_pool.cc
+++ b/servers/host/connection_pool.cc
@@ -122,7 +122,7 @@
   }
 }
 
-std::optional<TimePoint> ConnectionPool::next_wakeup(bool work_waits) const {
+std::optional<TimePoint> ConnectionPool::next_wakeup(std::size_t wanted) const {
   std::optional<TimePoint> earliest;
   const auto consider = [&earliest](TimePoint at) { earliest = earliest.has_value() ? std::min(*earliest, at) : at; };
   for (const auto& [id, connection] : m_connections) {
@@ -133,7 +133,8 @@
       consider(connection.since + m_limits.check_timeout);
     }
   }
-  if (work_waits && m_connections.size() < m_limits.connections && m_failures_in_row > 0) {
+  const std::size_t coming = count(ConnectionState::kOpening) + count(ConnectionState::kChecking);
+  if (coming < wanted && m_connections.size() < m_limits.connections) {
     consider(m_next_attempt);
   }
   return earliest;
--- a/servers/host/connection_pool.h
+++ b/servers/host/connection_pool.h
@@ -64,8 +64,8 @@
   /// Gives up connections that open or check for too long.
   void on_tick(TimePoint now);
 
-  /// Returns when on_tick() or prepare() is due next, if work waits.
-  std::optional<TimePoint> next_wakeup(bool work_waits) const;
+  /// Returns when on_tick() is due next, or prepare() for `wanted` connections.
+  std::optional<TimePoint> next_wakeup(std::size_t wanted) const;
 
   /// Returns the number of attempts that failed in a row, for want of connections or of the member.
   std::uint32_t failures_in_row() const { return m_failures_in_row; }
--- a/servers/host/member_executor.cc
+++ b/servers/host/member_executor.cc
@@ -176,7 +176,7 @@
 std::vector<WorkOutcome> MemberExecutor::take_outcomes() { return std::exchange(m_outcomes, {}); }
 
 std::optional<TimePoint> MemberExecutor::next_wakeup() const {
-  std::optional<TimePoint> earliest = m_pool.next_wakeup(!m_waiting.empty());
+  std::optional<TimePoint> earliest = m_pool.next_wakeup(m_waiting.size());
   const auto consider = [&earliest](TimePoint at) { earliest = earliest.has_value() ? std::min(*earliest, at) : at; };
   for (const auto& [connection, running] : m_running) {
     consider(running.silent_at);
--- a/servers/host/planned_stop.cc
+++ b/servers/host/planned_stop.cc
@@ -22,6 +22,7 @@
 }
 
 void PlannedStop::on_tick(std::size_t open_work, TimePoint now) {
+  m_next_poll = now + kDrainPollInterval;
   if (m_chart.state() == StopState::kAnnouncing && now >= m_announced_at) {
     enter(StopEvent::kAnnounced, open_work);
   }
@@ -40,7 +41,7 @@
     case StopState::kAnnouncing:
       return std::min(m_announced_at, m_deadline);
     case StopState::kDraining:
-      return std::min(m_announced_at + kDrainPollInterval, m_deadline);
+      return std::min(m_next_poll, m_deadline);
     case StopState::kServing:
     case StopState::kStopped:
       return std::nullopt;
--- a/servers/host/planned_stop.h
+++ b/servers/host/planned_stop.h
@@ -44,6 +44,7 @@
   StopChart m_chart;
   TimePoint m_announced_at;
   TimePoint m_deadline;
+  TimePoint m_next_poll;
   std::size_t m_work_left = 0;
 };
 
--- a/servers/host/request_service.cc
+++ b/servers/host/request_service.cc
@@ -310,7 +310,8 @@
 
 void RequestService::retry(Execution& execution, RetryReason reason, bool from_budget, TimePoint now) {
   ++execution.attempts;
-  if (execution.attempts >= kMaxAttempts) {
+  // What certainly did not run may try again until its deadline, as during a failover; its delay bounds the attempts.
+  if (from_budget && execution.attempts >= kMaxAttempts) {
     refuse(execution, execution.pending_refusal, now);
     return;
   }
