--- /dev/null
+++ b/misc/measure/group_harness.h
@@ -0,0 +1,449 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <set>
+#include <stdexcept>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "core/chart/compiled_charts.h"
+#include "core/chart/state_chart.h"
+#include "misc/measure/member_model.h"
+#include "servers/group/database_group.h"
+#include "servers/group/read_router.h"
+
+// Header-only, because both the measurement programs and the tests use it.
+namespace teaselrudder::model {
+
+/// Returns the compiled-in chart of a group; throws if it does not match the code.
+inline std::shared_ptr<const StateChart> load_group_chart() {
+  auto chart =
+      StateChart::load("database_group", compiled_chart("database_group"), group_state_names(), group_event_names());
+  if (!chart.has_value()) {
+    throw std::runtime_error(chart.error());
+  }
+  return std::make_shared<const StateChart>(std::move(*chart));
+}
+
+/// Returns a group of `count` members named m0, m1, ...
+inline GroupConfiguration make_group(std::size_t count) {
+  GroupConfiguration group{GroupId("g"), {}};
+  for (std::size_t index = 0; index < count; ++index) {
+    MemberConfiguration member;
+    member.id = MemberId("m" + std::to_string(index));
+    member.failure_domain = FailureDomainId("d" + std::to_string(index));
+    group.members.push_back(member);
+  }
+  return group;
+}
+
+/// What the harness lets a test see. Times are virtual.
+class HarnessObserver {
+ public:
+  HarnessObserver() = default;
+  HarnessObserver(const HarnessObserver&) = delete;
+  HarnessObserver& operator=(const HarnessObserver&) = delete;
+  virtual ~HarnessObserver() = default;
+
+  virtual void on_promoted(std::size_t /*member*/, Term /*term*/, const std::vector<Record>& /*log*/) {}
+  virtual void on_executed(std::uint64_t /*id*/, Term /*term*/) {}
+  virtual void on_confirmed(std::uint64_t /*id*/, const LogPoint& /*point*/, TimePoint /*now*/) {}
+  /// A read that was accepted. `session_ids` are the confirmed writes of the session when the read began.
+  virtual void on_read(const ReadRequirement& /*requirement*/, const std::vector<std::uint64_t>& /*session_ids*/,
+                       const std::vector<std::uint64_t>& /*visible*/, bool /*primary*/, TimePoint /*started*/,
+                       TimePoint /*now*/) {}
+};
+
+/// Settings of a harness.
+struct HarnessOptions {
+  std::size_t domains = 3;
+  Duration latency = std::chrono::microseconds(1500);
+  Duration connect_cost = std::chrono::milliseconds(10);
+  /// Time from one replication step of a member to the next.
+  Duration replication_interval = std::chrono::milliseconds(2);
+  Duration write_deadline = std::chrono::seconds(10);
+  std::uint64_t seed = 1;
+  /// Shares of answers on control connections that are lost, duplicated or up to 2 s late.
+  double lost = 0;
+  double duplicated = 0;
+  double late = 0;
+};
+
+/// One group under virtual time: a member and an owner in each failure domain, joined by links that can be cut.
+class GroupHarness {
+ public:
+  GroupHarness(const HarnessOptions& options, HarnessObserver& observer)
+      : m_options(options), m_observer(observer), m_random(options.seed), m_chart(load_group_chart()) {
+    m_nodes.resize(options.domains);
+    for (std::size_t index = 0; index < options.domains; ++index) {
+      start_owner(index);
+      replicate(index);
+    }
+  }
+
+  TimePoint now() const { return m_now; }
+  DatabaseGroup& group(std::size_t owner) { return *m_nodes[owner].group; }
+  MemberModel& member(std::size_t index) { return m_nodes[index].member; }
+  std::size_t size() const { return m_nodes.size(); }
+
+  /// Runs all events of the next `duration`.
+  void run_for(Duration duration) {
+    const TimePoint end = m_now + duration;
+    while (!m_events.empty() && m_events.begin()->first <= end) {
+      auto event = m_events.extract(m_events.begin());
+      m_now = event.key();
+      event.mapped()();
+    }
+    m_now = end;
+  }
+
+  /// Runs until `done` or for at most `limit`; returns whether `done` became true.
+  bool run_until(const std::function<bool()>& done, Duration limit) {
+    const TimePoint end = m_now + limit;
+    while (!done() && m_now < end) {
+      run_for(std::chrono::milliseconds(1));
+    }
+    return done();
+  }
+
+  /// Starts owner `index` anew, without any memory.
+  void start_owner(std::size_t index) {
+    Node& node = m_nodes[index];
+    node.group =
+        std::make_unique<DatabaseGroup>(current_configuration(), owner_id(index), GroupTimings(), m_chart, m_now);
+    node.confirmations.clear();
+    ++node.incarnation;
+    node.group->update_owners(index, m_nodes.size(), m_now);
+    pump(index);
+  }
+
+  void set_member_up(std::size_t index, bool up) { m_nodes[index].up = up; }
+
+  /// Cuts or restores the direction from failure domain `from` to `to`.
+  void set_cut(std::size_t from, std::size_t to, bool cut) {
+    if (cut) {
+      m_cuts.insert({from, to});
+    } else {
+      m_cuts.erase({from, to});
+    }
+  }
+
+  /// Cuts or restores all links between failure domain `domain` and the others.
+  void isolate(std::size_t domain, bool cut) {
+    for (std::size_t other = 0; other < m_nodes.size(); ++other) {
+      if (other != domain) {
+        set_cut(domain, other, cut);
+        set_cut(other, domain, cut);
+      }
+    }
+  }
+
+  /// Stops owner `index` for `duration`. What arrives meanwhile is delivered afterwards.
+  void pause_owner(std::size_t index, Duration duration) {
+    m_nodes[index].paused_until = std::max(m_nodes[index].paused_until, m_now + duration);
+  }
+
+  /// Makes the control connection from `owner` to `member` silent; a new one works.
+  void silence(std::size_t owner, std::size_t member) { m_silent.insert({owner, member}); }
+
+  void set_replication_delay(std::size_t index, Duration delay) { m_nodes[index].replication_delay = delay; }
+
+  /// Delivers answers on control connections reliably from now on.
+  void make_reliable() { m_options.lost = m_options.duplicated = m_options.late = 0; }
+
+  /// Loses the next answer to a Promote order after it took effect.
+  void lose_next_promote_answer() { m_lose_promote_answer = true; }
+
+  void update_configuration(const GroupConfiguration& configuration) {
+    m_group = configuration;
+    for (std::size_t index = 0; index < m_nodes.size(); ++index) {
+      group(index).update_configuration(configuration, m_now);
+      pump(index);
+    }
+  }
+
+  /// Sends a write of `session` through `owner`, if that knows a primary.
+  void write(std::size_t owner, std::size_t session) {
+    const std::optional<PrimaryView> primary = group(owner).primary();
+    if (!primary.has_value() || is_paused(owner)) {
+      return;
+    }
+    const std::size_t target = member_index(primary->member);
+    const std::uint64_t id = m_next_record++;
+    const TimePoint sent_at = m_now;
+    to_member(owner, target, Duration(0), [=, this] {
+      const std::optional<LogPoint> point = member(target).write(primary->term, id);
+      if (!point.has_value()) {
+        return;
+      }
+      m_observer.on_executed(id, point->term);
+      const MemberStatus after = member(target).status();
+      to_owner(target, owner, [=, this] {
+        group(owner).on_operation_report(primary->member, after, sent_at, m_now);
+        confirm(owner, *point, [=, this] {
+          Session& state = m_sessions[session];
+          state.point = std::max(state.point, *point);
+          state.ids.push_back(id);
+          m_observer.on_confirmed(id, *point, m_now);
+        });
+      });
+    });
+  }
+
+  /// Sends a read of `session` through `owner`, if that finds a member for it.
+  void read(std::size_t owner, std::size_t session, Freshness freshness, Duration max_age) {
+    const ReadRequirement requirement{{m_sessions[session].point, false}, freshness, max_age};
+    const auto choice = choose_reader(group(owner), requirement, {}, {}, false, m_now);
+    if (!choice.has_value() || is_paused(owner)) {
+      return;
+    }
+    const std::size_t target = member_index(choice->member);
+    const std::vector<std::uint64_t> session_ids = m_sessions[session].ids;
+    const TimePoint started = m_now;
+    const bool primary = choice->primary;
+    to_member(owner, target, Duration(0), [=, this] {
+      const MemberStatus before = member(target).status();
+      const std::vector<std::uint64_t> visible = member(target).visible();
+      to_owner(target, owner, [=, this] {
+        group(owner).on_operation_report(MemberId("m" + std::to_string(target)), before, started, m_now);
+        pump(owner);
+        if (!read_is_acceptable(group(owner), requirement, before, m_now)) {
+          return;
+        }
+        const auto accept = [=, this] {
+          m_observer.on_read(requirement, session_ids, visible, primary, started, m_now);
+        };
+        if (freshness == Freshness::kFresh) {
+          confirm(owner, {before.raised_term, before.received}, accept);
+        } else {
+          accept();
+        }
+      });
+    });
+  }
+
+ private:
+  struct Node {
+    MemberModel member;
+    bool up = true;
+    Duration replication_delay{0};
+    std::unique_ptr<DatabaseGroup> group;
+    std::uint64_t incarnation = 0;
+    TimePoint paused_until;
+    std::uint64_t tick = 0;
+    std::map<ConfirmationId, std::function<void()>> confirmations;
+  };
+
+  struct Session {
+    LogPoint point;
+    std::vector<std::uint64_t> ids;
+  };
+
+  static HostId owner_id(std::size_t index) { return HostId("h" + std::to_string(index)); }
+  static std::size_t member_index(const MemberId& member) { return std::stoul(member.value().substr(1)); }
+
+  GroupConfiguration current_configuration() const {
+    return m_group.members.empty() ? make_group(m_nodes.size()) : m_group;
+  }
+
+  bool is_cut(std::size_t from, std::size_t to) const { return m_cuts.contains({from, to}); }
+  bool is_paused(std::size_t owner) const { return m_now < m_nodes[owner].paused_until; }
+  double random() { return std::uniform_real_distribution<double>(0, 1)(m_random); }
+
+  Duration link_delay(std::size_t from, std::size_t to) {
+    const Duration base = from == to ? std::chrono::microseconds(100) : m_options.latency;
+    return base + Duration(static_cast<Duration::rep>(random() * 200));
+  }
+
+  void at(TimePoint time, std::function<void()> event) { m_events.emplace(time, std::move(event)); }
+
+  // Delivers to an owner, after its pause if it is paused, unless it was restarted meanwhile.
+  void deliver(std::size_t owner, std::uint64_t incarnation, const std::function<void()>& event) {
+    if (m_nodes[owner].incarnation != incarnation) {
+      return;
+    }
+    if (is_paused(owner)) {
+      at(m_nodes[owner].paused_until, [=, this] { deliver(owner, incarnation, event); });
+      return;
+    }
+    event();
+    pump(owner);
+  }
+
+  void to_member(std::size_t owner, std::size_t target, Duration extra, const std::function<void()>& event) {
+    if (is_cut(owner, target)) {
+      return;
+    }
+    at(m_now + extra + link_delay(owner, target), [=, this] {
+      if (m_nodes[target].up && !is_cut(owner, target)) {
+        event();
+      }
+    });
+  }
+
+  void to_owner(std::size_t member, std::size_t owner, const std::function<void()>& event) {
+    if (is_cut(member, owner)) {
+      return;
+    }
+    const std::uint64_t incarnation = m_nodes[owner].incarnation;
+    at(m_now + link_delay(member, owner), [=, this] { deliver(owner, incarnation, event); });
+  }
+
+  // Answers on control connections may be lost, duplicated or late.
+  void answer(std::size_t member, std::size_t owner, const std::function<void()>& event) {
+    if (random() < m_options.lost) {
+      return;
+    }
+    if (random() < m_options.duplicated) {
+      to_owner(member, owner, event);
+    }
+    const Duration late(random() < m_options.late ? static_cast<Duration::rep>(random() * 2'000'000) : 0);
+    at(m_now + late, [=, this] { to_owner(member, owner, event); });
+  }
+
+  void confirm(std::size_t owner, const LogPoint& point, const std::function<void()>& confirmed) {
+    const ConfirmationId id = group(owner).confirm(point, m_now + m_options.write_deadline, m_now);
+    m_nodes[owner].confirmations[id] = confirmed;
+  }
+
+  void pump(std::size_t owner) {
+    for (const GroupAction& action : group(owner).take_actions()) {
+      std::visit([&](const auto& details) { perform(owner, details); }, action);
+    }
+    schedule_tick(owner);
+  }
+
+  void schedule_tick(std::size_t owner) {
+    const std::uint64_t tick = ++m_nodes[owner].tick;
+    const std::uint64_t incarnation = m_nodes[owner].incarnation;
+    at(std::max(m_now, group(owner).next_wakeup()), [=, this] {
+      if (m_nodes[owner].tick == tick) {
+        deliver(owner, incarnation, [=, this] { group(owner).on_tick(random(), m_now); });
+      }
+    });
+  }
+
+  void perform(std::size_t owner, const SendProbe& action) {
+    const std::size_t target = member_index(action.member);
+    if (action.new_connection) {
+      m_silent.erase({owner, target});
+    }
+    if (m_silent.contains({owner, target}) || is_cut(owner, target)) {
+      return;
+    }
+    if (!m_nodes[target].up) {
+      // The machine is there and rejects the connection.
+      to_owner(target, owner, [=, this] { group(owner).on_probe_failed(action.member, action.probe, m_now); });
+      return;
+    }
+    const Duration connect = action.new_connection ? m_options.connect_cost : Duration(0);
+    to_member(owner, target, connect, [=, this] {
+      const MemberStatus status = member(target).status();
+      answer(target, owner, [=, this] { group(owner).on_probe_report(action.member, action.probe, status, m_now); });
+    });
+  }
+
+  void perform(std::size_t owner, const SendRaiseTerm& action) {
+    const std::size_t target = member_index(action.member);
+    to_member(owner, target, Duration(0), [=, this] {
+      const GrantResult result = member(target).raise_term(action.term, owner_id(owner));
+      answer(target, owner, [=, this] { group(owner).on_raise_result(action.member, action.term, result, m_now); });
+    });
+  }
+
+  void perform(std::size_t owner, const SendPromote& action) {
+    const std::size_t target = member_index(action.member);
+    to_member(owner, target, Duration(0), [=, this] {
+      const bool was_primary = member(target).is_primary();
+      const GrantResult result = member(target).promote(action.term, owner_id(owner));
+      if (result.granted && !was_primary) {
+        m_observer.on_promoted(target, action.term, member(target).log());
+      }
+      if (std::exchange(m_lose_promote_answer, false)) {
+        return;
+      }
+      answer(target, owner, [=, this] { group(owner).on_promote_result(action.member, action.term, result, m_now); });
+    });
+  }
+
+  void perform(std::size_t owner, const SendFollow& action) {
+    const std::size_t target = member_index(action.member);
+    to_member(owner, target, Duration(0), [=, this] {
+      const GrantResult result = member(target).follow(action.term, member_index(action.primary));
+      answer(target, owner, [=, this] { group(owner).on_follow_result(action.member, action.term, result, m_now); });
+    });
+  }
+
+  void perform(std::size_t owner, const AskSuspicion& action) {
+    at(m_now + m_options.latency, [=, this] {
+      std::size_t answered = 0;
+      std::size_t suspecting = 0;
+      Term highest;
+      for (std::size_t other = 0; other < m_nodes.size(); ++other) {
+        if (other == owner || is_cut(owner, other) || is_cut(other, owner) || is_paused(other)) {
+          continue;
+        }
+        ++answered;
+        suspecting += group(other).suspects(action.member, action.term, m_now) ? 1 : 0;
+        highest = std::max(highest, group(other).highest_known_term());
+      }
+      // Calls that nobody answers end with their timeout.
+      const bool all = answered + 1 == m_nodes.size();
+      const Duration wait = all ? m_options.latency : Duration(std::chrono::milliseconds(150));
+      const std::uint64_t incarnation = m_nodes[owner].incarnation;
+      at(m_now + wait, [=, this] {
+        deliver(owner, incarnation,
+                [=, this] { group(owner).on_suspicion_replies(action.term, answered, suspecting, highest, m_now); });
+      });
+    });
+  }
+
+  void perform(std::size_t owner, const ConfirmationDone& action) {
+    const auto found = m_nodes[owner].confirmations.extract(action.confirmation);
+    if (!found.empty() && action.confirmed) {
+      found.mapped()();
+    }
+  }
+
+  void perform(std::size_t /*owner*/, const PrimaryChanged& /*action*/) {}
+
+  // Sends the replica what it lacks, every replication interval.
+  void replicate(std::size_t index) {
+    at(m_now + m_options.replication_interval, [=, this] { replicate(index); });
+    const std::optional<std::size_t> source = member(index).source();
+    const bool connected = source.has_value() && m_nodes[index].up && m_nodes[*source].up && !is_cut(*source, index);
+    const std::optional<LogSegment> segment = connected ? member(*source).segment_for(member(index)) : std::nullopt;
+    if (!segment.has_value()) {
+      return;
+    }
+    at(m_now + link_delay(*source, index) + m_nodes[index].replication_delay, [=, this] {
+      if (m_nodes[index].up && !is_cut(*source, index)) {
+        member(index).receive(*segment);
+      }
+    });
+  }
+
+  HarnessOptions m_options;
+  HarnessObserver& m_observer;
+  std::mt19937_64 m_random;
+  std::shared_ptr<const StateChart> m_chart;
+  GroupConfiguration m_group;
+  std::vector<Node> m_nodes;
+  TimePoint m_now{std::chrono::hours(1)};
+  std::multimap<TimePoint, std::function<void()>> m_events;
+  std::set<std::pair<std::size_t, std::size_t>> m_cuts;
+  std::set<std::pair<std::size_t, std::size_t>> m_silent;
+  std::map<std::size_t, Session> m_sessions;
+  std::uint64_t m_next_record = 1;
+  bool m_lose_promote_answer = false;
+};
+
+}  // namespace teaselrudder::model
