--- a/servers/scheduling/member_queue.cc
+++ b/servers/scheduling/member_queue.cc
@@ -1,6 +1,8 @@
 #include "servers/scheduling/member_queue.h"
 
 #include <algorithm>
+#include <cmath>
+#include <functional>
 
 namespace teaselrudder {
 
@@ -27,6 +29,16 @@
 /// Share of the time to the deadline that admission may use up, in quarters. The rest covers the spread of durations.
 constexpr std::int64_t kAdmissionQuarters = 3;
 
+/// Share of the queue that only urgent work may use, in eighths, so that a queue full of normal work cannot keep it
+/// out.
+constexpr std::size_t kUrgentReserveEighths = 1;
+
+/// Slots left to short work for each slot that it uses: at 80% load it waits little.
+constexpr double kShortHeadroom = 1.25;
+
+/// Time constant of the load of short work; several long items of a quarter of a second fit in.
+constexpr Duration kShortLoadTimeConstant = std::chrono::seconds(1);
+
 /// Longest duration that is believed, so that sums cannot overflow.
 constexpr Duration kMaxExpected = std::chrono::minutes(10);
 
@@ -77,11 +89,14 @@
     return tl::unexpected(
         QueueRefusal{RefusalReason::kQueueDeadline, std::clamp(excess, kMinRetryAfter, kMaxRetryAfter)});
   }
-  const bool full = m_items.size() >= m_limits.max_queue;
-  if (full && !(work.urgency == Urgency::kUrgent && displace_background())) {
+  if (stands(work)) {
+    return tl::unexpected(QueueRefusal{RefusalReason::kQueueFull, StandingQueue::kTimeConstant});
+  }
+  if (!has_room(work) && !(work.urgency == Urgency::kUrgent && displace_background())) {
     return tl::unexpected(QueueRefusal{RefusalReason::kQueueFull, time_to_shorten()});
   }
   insert(work, place, wait, now);
+  observe_standing(now);
   return {};
 }
 
@@ -99,6 +114,7 @@
     return std::nullopt;
   }
   start(*candidate, now);
+  observe_standing(now);
   return candidate->id;
 }
 
@@ -113,6 +129,7 @@
   urgency_class.running_pass -= running.charged;
   urgency_class.pass += std::min(actual, kMaxCharge) * inverse_weight(running.urgency);
   m_duration_correction.record(actual, running.expected);
+  observe_short_load(now);
   m_running.erase(found);
 }
 
@@ -132,7 +149,7 @@
 Duration MemberQueue::expected_wait(Urgency urgency, TimePoint now) const {
   QueuedWork work;
   work.urgency = urgency;
-  const Place last{TimePoint::max(), m_next_sequence, WorkId()};
+  const Place last{TimePoint::max(), m_next_sequence, WorkId(), Duration::zero()};
   return predict_wait(work, last, now);
 }
 
@@ -149,7 +166,7 @@
 
 MemberQueue::Place MemberQueue::place_of(const QueuedWork& work, TimePoint now) const {
   const Duration handicap = std::min(bounded(work.expected) * kAgeingFactor, m_limits.ageing_interval);
-  return {now + handicap, m_next_sequence, work.id};
+  return {now + handicap, m_next_sequence, work.id, bounded(work.expected)};
 }
 
 /// A free slot admits whatever the estimate says; otherwise a shape whose estimate is too high would never run and
@@ -163,13 +180,58 @@
   return wait <= Duration::zero() || wait + own <= left / 4 * kAdmissionQuarters;
 }
 
+bool MemberQueue::has_room(const QueuedWork& work) const {
+  const std::size_t reserve = work.urgency == Urgency::kUrgent ? 0 : m_limits.max_queue / 8 * kUrgentReserveEighths;
+  return m_items.size() + reserve < m_limits.max_queue;
+}
+
+bool MemberQueue::stands(const QueuedWork& work) const {
+  const UrgencyClass& urgency_class = class_of(work.urgency);
+  const StandingQueue& queue = work.is_long ? urgency_class.standing_long : urgency_class.standing_short;
+  return queue.is_standing() && urgency_class.waiting(work.is_long) >= standing_limit(work.urgency);
+}
+
+/// One item for each slot keeps the slots busy. Urgent work gets half of that, because it is there for its latency and
+/// the other urgencies use what it leaves.
+std::size_t MemberQueue::standing_limit(Urgency urgency) const {
+  const std::size_t slots = std::max<std::size_t>(m_limits.slots, 1);
+  return urgency == Urgency::kUrgent ? (slots + 1) / 2 : slots;
+}
+
+void MemberQueue::observe_standing(TimePoint now) {
+  for (UrgencyClass& urgency_class : m_classes) {
+    urgency_class.observe_standing(now);
+  }
+}
+
+std::size_t MemberQueue::UrgencyClass::waiting(bool is_long) const {
+  return is_long ? lanes[kTransactionLong].places.size() + lanes[kNewLong].places.size()
+                 : lanes[kTransactionShort].places.size() + lanes[kNewShort].places.size();
+}
+
+void MemberQueue::UrgencyClass::observe_standing(TimePoint now) {
+  standing_short.observe(waiting(false) == 0, now);
+  standing_long.observe(waiting(true) == 0, now);
+}
+
+void MemberQueue::OrderedWork::insert(const Place& place) {
+  places.insert(place);
+  sum += place.expected;
+}
+
+void MemberQueue::OrderedWork::erase(const Place& place) {
+  if (places.erase(place) > 0) {
+    sum -= place.expected;
+  }
+}
+
 bool MemberQueue::displace_background() {
   const UrgencyClass& background = class_of(Urgency::kBackground);
   const Place* last = nullptr;
   for (const Lanes* lanes : {&background.late_lanes, &background.lanes}) {
-    for (const std::set<Place>& lane : *lanes) {
-      if (!lane.empty() && (last == nullptr || *last < *lane.rbegin())) {
-        last = &*lane.rbegin();
+    for (const OrderedWork& lane : *lanes) {
+      if (!lane.empty() && (last == nullptr || *last < *lane.places.rbegin())) {
+        last = &*lane.places.rbegin();
       }
     }
   }
@@ -194,10 +256,10 @@
 /// Time until a tenth of the queue has been worked off.
 Duration MemberQueue::time_to_shorten() const {
   Duration sum{0};
-  for (const auto& [id, item] : m_items) {
-    sum += item.work.expected;
+  for (const Urgency urgency : {Urgency::kUrgent, Urgency::kNormal, Urgency::kBackground}) {
+    sum += waiting_work(urgency, true, true);
   }
-  const Duration tenth = m_duration_correction.apply(sum) / (10 * std::max<std::int64_t>(m_limits.slots, 1));
+  const Duration tenth = sum / (10 * std::max<std::int64_t>(m_limits.slots, 1));
   return std::clamp(tenth, kMinRetryAfter, kMaxRetryAfter);
 }
 
@@ -208,9 +270,12 @@
   return left >= Duration::zero() ? left : -left;
 }
 
+bool MemberQueue::overran(const Running& running, TimePoint now) const {
+  return now - running.started_at > kOverrunFactor * m_duration_correction.apply(running.expected);
+}
+
 bool MemberQueue::counts_as_long(const Running& running, TimePoint now) const {
-  const Duration overrun_at = kOverrunFactor * m_duration_correction.apply(running.expected);
-  return running.is_long || now - running.started_at > overrun_at;
+  return running.is_long || overran(running, now);
 }
 
 /// Returns when each slot that is open to long or to short work becomes free.
@@ -239,17 +304,26 @@
     if (!(lane_is_long ? with_long : with_short) || (lane_is_new && work.in_transaction)) {
       continue;
     }
-    const bool all_ahead = !lane_is_new && !work.in_transaction;
-    for (const Place& other : lanes[lane]) {
-      if (!all_ahead && place < other) {
+    if (place.rank == TimePoint::max() || (!lane_is_new && !work.in_transaction)) {
+      sum += lanes[lane].sum;
+      continue;
+    }
+    for (const Place& other : lanes[lane].places) {
+      if (place < other) {
         break;
       }
-      sum += m_items.at(other.id).work.expected;
+      sum += other.expected;
     }
   }
   return m_duration_correction.apply(sum);
 }
 
+Duration MemberQueue::waiting_work(Urgency urgency, bool with_long, bool with_short) const {
+  QueuedWork work;
+  work.urgency = urgency;
+  return work_ahead(work, Place{TimePoint::max(), m_next_sequence, WorkId(), Duration::zero()}, with_long, with_short);
+}
+
 /// Returns the queued work of the other urgencies that their weights put ahead of `own` work of `urgency`.
 Duration MemberQueue::work_of_others(Urgency urgency, Duration own, bool with_long, bool with_short) const {
   const Duration start_pass = effective_pass(class_of(urgency)) + own * inverse_weight(urgency);
@@ -258,10 +332,7 @@
     if (other == urgency) {
       continue;
     }
-    QueuedWork last;
-    last.urgency = other;
-    const Place last_place{TimePoint::max(), m_next_sequence, WorkId()};
-    const Duration queued = work_ahead(last, last_place, with_long, with_short);
+    const Duration queued = waiting_work(other, with_long, with_short);
     // Equal passes go to the more urgent class.
     const Duration tie = other < urgency ? Duration(1) : Duration::zero();
     const Duration share = (start_pass + tie - effective_pass(class_of(other))) / inverse_weight(other);
@@ -289,28 +360,48 @@
 Duration MemberQueue::effective_pass(const UrgencyClass& urgency_class) const {
   const Duration pass = urgency_class.pass + urgency_class.running_pass;
   const bool waiting = std::any_of(urgency_class.lanes.begin(), urgency_class.lanes.end(),
-                                   [](const std::set<Place>& lane) { return !lane.empty(); });
+                                   [](const OrderedWork& lane) { return !lane.empty(); });
   return waiting ? pass : std::max(pass, m_virtual_time);
 }
 
 std::uint32_t MemberQueue::max_long() const { return m_limits.slots > 1 ? m_limits.slots - 1 : 1; }
 
+/// One long item may run beside work that overran; more of them only while the other slots suffice for the short work
+/// of late. Otherwise short work would queue for as long as the long work runs.
 bool MemberQueue::long_may_start(TimePoint now) const {
-  const auto running_long = std::count_if(m_running.begin(), m_running.end(),
-                                          [&](const auto& entry) { return counts_as_long(entry.second, now); });
-  return static_cast<std::uint32_t>(running_long) < max_long();
+  std::uint32_t running_long = 0;
+  bool any_regular = false;
+  for (const auto& [id, running] : m_running) {
+    running_long += counts_as_long(running, now) ? 1 : 0;
+    any_regular = any_regular || (running.is_long && !overran(running, now));
+  }
+  if (running_long >= max_long()) {
+    return false;
+  }
+  return !any_regular || running_long + 1 + m_short_load * kShortHeadroom <= m_limits.slots;
+}
+
+void MemberQueue::observe_short_load(TimePoint now) {
+  const auto running_short =
+      std::count_if(m_running.begin(), m_running.end(), [](const auto& entry) { return !entry.second.is_long; });
+  const auto elapsed = static_cast<double>(std::max(now - m_short_load_at, Duration::zero()).count());
+  const double kept = std::exp(-elapsed / static_cast<double>(kShortLoadTimeConstant.count()));
+  m_short_load = m_short_load * kept + static_cast<double>(running_short) * (1 - kept);
+  m_short_load_at = now;
 }
 
 void MemberQueue::move_late_items(UrgencyClass& urgency_class, TimePoint now) {
   for (std::size_t lane = 0; lane < kLaneCount; ++lane) {
-    std::set<Place>& places = urgency_class.lanes[lane];
-    while (!places.empty()) {
-      Item& item = m_items.at(places.begin()->id);
+    OrderedWork& waiting = urgency_class.lanes[lane];
+    while (!waiting.empty()) {
+      const Place first = *waiting.places.begin();
+      Item& item = m_items.at(first.id);
       if (now + m_duration_correction.apply(item.work.expected) <= item.work.deadline) {
         break;
       }
       item.late = true;
-      urgency_class.late_lanes[lane].insert(places.extract(places.begin()));
+      waiting.erase(first);
+      urgency_class.late_lanes[lane].insert(first);
     }
   }
 }
@@ -321,7 +412,7 @@
     const bool short_waits = !lanes[short_lane].empty();
     const bool long_waits = long_allowed && !lanes[long_lane].empty();
     if (short_waits && long_waits) {
-      return *lanes[long_lane].begin() < *lanes[short_lane].begin() ? long_lane : short_lane;
+      return *lanes[long_lane].places.begin() < *lanes[short_lane].places.begin() ? long_lane : short_lane;
     }
     return short_waits ? std::optional(short_lane) : (long_waits ? std::optional(long_lane) : std::nullopt);
   };
@@ -331,24 +422,45 @@
   return transaction && !new_is_due ? transaction : fresh;
 }
 
+/// Lifts the pass of classes that could not start anything until now to that of the others, so that an idle class
+/// saves up nothing. The pass of the last start would not do as the level: passes fall when work ends early, and the
+/// newcomer would then have to wait for the others to catch up.
+void MemberQueue::admit_competitors(const std::array<std::optional<Lane>, kUrgencyCount>& first_lanes) {
+  std::optional<Duration> level;
+  for (std::size_t index = 0; index < kUrgencyCount; ++index) {
+    if (first_lanes[index] && m_classes[index].competing) {
+      const Duration pass = m_classes[index].pass + m_classes[index].running_pass;
+      level = std::min(level.value_or(pass), pass);
+    }
+  }
+  for (std::size_t index = 0; index < kUrgencyCount; ++index) {
+    UrgencyClass& urgency_class = m_classes[index];
+    if (first_lanes[index] && !urgency_class.competing) {
+      const Duration pass = urgency_class.pass + urgency_class.running_pass;
+      urgency_class.pass += std::max(level.value_or(m_virtual_time) - pass, Duration::zero());
+    }
+    urgency_class.competing = first_lanes[index].has_value();
+  }
+}
+
 std::optional<MemberQueue::Candidate> MemberQueue::choose_on_time(bool long_allowed, TimePoint now) {
+  std::array<std::optional<Lane>, kUrgencyCount> first_lanes;
+  for (std::size_t index = 0; index < kUrgencyCount; ++index) {
+    UrgencyClass& urgency_class = m_classes[index];
+    move_late_items(urgency_class, now);
+    first_lanes[index] = first_lane(urgency_class.lanes, long_allowed, urgency_class.transaction_run);
+  }
+  admit_competitors(first_lanes);
   std::optional<Candidate> chosen;
-  Duration lowest_pass{0};
   for (const Urgency urgency : {Urgency::kUrgent, Urgency::kNormal, Urgency::kBackground}) {
-    UrgencyClass& urgency_class = class_of(urgency);
-    move_late_items(urgency_class, now);
-    const std::optional<Lane> lane = first_lane(urgency_class.lanes, long_allowed, urgency_class.transaction_run);
+    const UrgencyClass& urgency_class = class_of(urgency);
+    const std::optional<Lane> lane = first_lanes[static_cast<std::size_t>(urgency)];
     const Duration pass = urgency_class.pass + urgency_class.running_pass;
-    if (!lane) {
-      urgency_class.pass += std::max(m_virtual_time - pass, Duration::zero());
-    } else if (!chosen || pass < lowest_pass) {
-      chosen = Candidate{urgency, *lane, urgency_class.lanes[*lane].begin()->id};
-      lowest_pass = pass;
+    if (lane && (!chosen || pass < m_virtual_time)) {
+      chosen = Candidate{urgency, *lane, urgency_class.lanes[*lane].places.begin()->id};
+      m_virtual_time = pass;
     }
   }
-  if (chosen) {
-    m_virtual_time = std::max(m_virtual_time, lowest_pass);
-  }
   return chosen;
 }
 
@@ -357,7 +469,7 @@
     const Lanes& lanes = class_of(urgency).late_lanes;
     const std::optional<Lane> lane = first_lane(lanes, long_allowed, 0);
     if (lane) {
-      return Candidate{urgency, *lane, lanes[*lane].begin()->id};
+      return Candidate{urgency, *lane, lanes[*lane].places.begin()->id};
     }
   }
   return std::nullopt;
@@ -374,6 +486,7 @@
   const Duration expected = std::max(m_duration_correction.apply(item.work.expected), Duration(1));
   const Duration charged = std::min(expected, kMaxCharge) * inverse_weight(candidate.urgency);
   urgency_class.running_pass += charged;
+  observe_short_load(now);
   m_running.emplace(candidate.id, Running{candidate.urgency, item.work.expected, item.work.is_long, now, charged});
 }
 
--- a/servers/scheduling/member_queue.h
+++ b/servers/scheduling/member_queue.h
@@ -15,6 +15,7 @@
 #include "core/strong_type.h"
 #include "core/time.h"
 #include "servers/scheduling/moving_ratio.h"
+#include "servers/scheduling/standing_queue.h"
 #include "tl/expected.hpp"
 
 namespace teaselrudder {
@@ -57,8 +58,9 @@
 /// The queue of one member: decides what runs next and refuses what cannot run before its deadline.
 ///
 /// Urgencies share the slot time with weights 16, 4 and 1. Within an urgency the shortest expected duration goes first,
-/// and waiting time counts in favour of work. Call take_expired() after enqueue() and whenever next_deadline() passes:
-/// each queued item is returned exactly once, by start_next(), remove() or take_expired().
+/// and waiting time counts in favour of work. While demand of an urgency exceeds what it is served, its queue is kept
+/// to one item for each slot. Call take_expired() after enqueue() and whenever next_deadline() passes: each queued item
+/// is returned exactly once, by start_next(), remove() or take_expired().
 class MemberQueue {
  public:
   explicit MemberQueue(QueueLimits limits);
@@ -103,6 +105,7 @@
     TimePoint rank;
     std::uint64_t sequence = 0;
     WorkId id;
+    Duration expected{0};
 
     friend auto operator<=>(const Place&, const Place&) = default;
   };
@@ -110,7 +113,17 @@
   /// The orders of one urgency; long work is kept apart because it may have to let short work pass.
   enum Lane : std::uint8_t { kTransactionShort, kTransactionLong, kNewShort, kNewLong };
   static constexpr std::size_t kLaneCount = 4;
-  using Lanes = std::array<std::set<Place>, kLaneCount>;
+
+  /// One order with the sum of the expected durations.
+  struct OrderedWork {
+    std::set<Place> places;
+    Duration sum{0};
+
+    bool empty() const { return places.empty(); }
+    void insert(const Place& place);
+    void erase(const Place& place);
+  };
+  using Lanes = std::array<OrderedWork, kLaneCount>;
 
   struct Item {
     QueuedWork work;
@@ -136,10 +149,18 @@
     Duration pass{0};
     /// Expected slot time of running work, divided by the weight.
     Duration running_pass{0};
+    /// Whether work of this urgency could have started at the last choice.
+    bool competing = false;
     /// Transaction statements started in a row while new work waited.
     std::uint32_t transaction_run = 0;
     /// Corrects the predicted wait, mainly for more urgent work that arrives later.
     MovingRatio wait_correction{1.0, 16.0};
+    /// Whether short and long work of this urgency comes faster than it is served.
+    StandingQueue standing_short;
+    StandingQueue standing_long;
+
+    std::size_t waiting(bool is_long) const;
+    void observe_standing(TimePoint now);
   };
 
   struct Candidate {
@@ -156,15 +177,21 @@
   /// Admission.
   Place place_of(const QueuedWork& work, TimePoint now) const;
   bool fits(const QueuedWork& work, Duration wait, TimePoint now) const;
+  bool has_room(const QueuedWork& work) const;
+  bool stands(const QueuedWork& work) const;
+  std::size_t standing_limit(Urgency urgency) const;
+  void observe_standing(TimePoint now);
   bool displace_background();
   void insert(const QueuedWork& work, const Place& place, Duration wait, TimePoint now);
   Duration time_to_shorten() const;
 
   /// Forecast.
   Duration remaining(const Running& running, TimePoint now) const;
+  bool overran(const Running& running, TimePoint now) const;
   bool counts_as_long(const Running& running, TimePoint now) const;
   std::vector<Duration> ready_times(bool of_long, bool of_short, TimePoint now) const;
   Duration work_ahead(const QueuedWork& work, const Place& place, bool with_long, bool with_short) const;
+  Duration waiting_work(Urgency urgency, bool with_long, bool with_short) const;
   Duration work_of_others(Urgency urgency, Duration own, bool with_long, bool with_short) const;
   Duration predict_wait(const QueuedWork& work, const Place& place, TimePoint now) const;
 
@@ -172,7 +199,9 @@
   Duration effective_pass(const UrgencyClass& urgency_class) const;
   std::uint32_t max_long() const;
   bool long_may_start(TimePoint now) const;
+  void observe_short_load(TimePoint now);
   void move_late_items(UrgencyClass& urgency_class, TimePoint now);
+  void admit_competitors(const std::array<std::optional<Lane>, kUrgencyCount>& first_lanes);
   std::optional<Candidate> choose_on_time(bool long_allowed, TimePoint now);
   std::optional<Candidate> choose_late(bool long_allowed) const;
   void start(const Candidate& candidate, TimePoint now);
@@ -187,9 +216,12 @@
   std::map<WorkId, Running> m_running;
   /// Items that will not run and that take_expired() has not returned yet.
   std::vector<WorkId> m_not_run;
-  /// Pass of the class that started work last; an idle class is lifted to it and saves up nothing.
+  /// Pass of the class that started work last.
   Duration m_virtual_time{0};
   std::uint64_t m_next_sequence = 0;
+  /// Moving mean of the number of slots that short work uses, and when it was brought up to date.
+  double m_short_load = 0;
+  TimePoint m_short_load_at;
   /// Corrects expected durations that are wrong on the whole.
   MovingRatio m_duration_correction{1.0 / 16, 16.0};
 };
