Add the PostgreSQL adapter of the upstream port

Cause: hosts have no way yet to reach the members of a database group.

A segment ends before each COMMIT, so a transaction that failed is rolled back by the same COMMIT without another round trip. Statements that end the transaction or change the session are refused before they are sent.

Conclusion: the adapter needs no change in core/ or servers/.

--- /dev/null
+++ b/drivers/postgres/operation_script.cc
@@ -0,0 +1,173 @@
+#include "drivers/postgres/operation_script.h"
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+
+#include "drivers/postgres/member_sql.h"
+
+namespace teaselrudder {
+
+namespace {
+
+/// Builds the script of each operation.
+class ScriptBuilder {
+ public:
+  void operator()(const ReportStatus& /*operation*/) { add(CommandRole::kAfter, member_sql::kMemberStatus); }
+
+  void operator()(const RaiseTerm& operation) {
+    add(CommandRole::kAnswer, member_sql::kRaiseTerm, {number(operation.term), operation.candidate.value()});
+  }
+
+  void operator()(const Promote& operation) {
+    add(CommandRole::kAnswer, member_sql::kPromote, {number(operation.term), operation.candidate.value()});
+  }
+
+  void operator()(const Follow& operation) {
+    const std::string address = operation.primary.ip + ":" + std::to_string(operation.primary.port);
+    add(CommandRole::kAnswer, member_sql::kFollow, {number(operation.term), address});
+  }
+
+  void operator()(const RunStatements& operation) {
+    if (operation.read_only) {
+      add(CommandRole::kBefore, member_sql::kMemberStatus);
+      add(CommandRole::kControl, member_sql::kBeginReadOnly);
+    } else {
+      begin_write(operation.term);
+      add(CommandRole::kRecord, member_sql::kRecordRequest, {operation.request_id.value()});
+      add(CommandRole::kBefore, member_sql::kMemberStatus);
+    }
+    add_statements(operation.statements);
+    synchronize();
+    commit();
+  }
+
+  void operator()(const SettleRequest& operation) {
+    begin_write(operation.term);
+    add(CommandRole::kAnswer, member_sql::kVoidRequest, {operation.request_id.value()});
+    synchronize();
+    commit();
+  }
+
+  void operator()(const BeginTransaction& operation) {
+    if (operation.read_only) {
+      add(CommandRole::kControl, member_sql::kBeginReadOnly);
+      return;
+    }
+    begin_write(operation.term);
+    add(CommandRole::kRecord, member_sql::kRecordRequest, {operation.request_id.value()});
+  }
+
+  void operator()(const RunInTransaction& operation) { add_statements(operation.statements); }
+
+  void operator()(const CommitTransaction& /*operation*/) { commit(); }
+
+  void operator()(const RollbackTransaction& /*operation*/) { add(CommandRole::kControl, member_sql::kRollback); }
+
+  Script finish() {
+    synchronize();
+    return std::move(m_script);
+  }
+
+ private:
+  static std::string number(Term term) { return std::to_string(term.value()); }
+
+  void add(CommandRole role, std::string_view sql, std::vector<std::optional<std::string>> parameters = {}) {
+    m_script.push_back({role, std::string(sql), std::move(parameters)});
+  }
+
+  void synchronize() { add(CommandRole::kSynchronize, ""); }
+
+  void begin_write(Term term) {
+    add(CommandRole::kControl, member_sql::kBegin);
+    add(CommandRole::kControl, member_sql::kRequireTerm, {number(term)});
+  }
+
+  void add_statements(const std::vector<Statement>& statements) {
+    for (const Statement& statement : statements) {
+      add(CommandRole::kStatement, statement.sql, statement.parameters);
+    }
+  }
+
+  void commit() {
+    add(CommandRole::kCommit, member_sql::kCommit);
+    add(CommandRole::kAfter, member_sql::kMemberStatus);
+  }
+
+  Script m_script;
+};
+
+/// Returns the part of `sql` behind a block comment, which may be nested.
+std::string_view skip_block_comment(std::string_view sql) {
+  int depth = 0;
+  while (!sql.empty()) {
+    if (sql.starts_with("/*") || sql.starts_with("*/")) {
+      depth += sql.front() == '/' ? 1 : -1;
+      sql.remove_prefix(2);
+      if (depth == 0) {
+        return sql;
+      }
+      continue;
+    }
+    sql.remove_prefix(1);
+  }
+  return sql;
+}
+
+/// Returns `sql` from its first word on: without leading blanks, comments and empty statements.
+std::string_view skip_to_first_word(std::string_view sql) {
+  while (!sql.empty()) {
+    if (std::isspace(static_cast<unsigned char>(sql.front())) != 0 || sql.front() == ';') {
+      sql.remove_prefix(1);
+    } else if (sql.starts_with("--")) {
+      sql.remove_prefix(std::min(sql.find_first_of("\r\n"), sql.size()));
+    } else if (sql.starts_with("/*")) {
+      sql = skip_block_comment(sql);
+    } else {
+      break;
+    }
+  }
+  return sql;
+}
+
+}  // namespace
+
+Script build_script(const UpstreamOperation& operation) {
+  ScriptBuilder builder;
+  std::visit(builder, operation);
+  return builder.finish();
+}
+
+Script build_rollback() {
+  return {{CommandRole::kControl, member_sql::kRollback, {}},
+          {CommandRole::kAfter, member_sql::kMemberStatus, {}},
+          {CommandRole::kSynchronize, "", {}}};
+}
+
+bool is_session_statement(std::string_view sql) {
+  static constexpr std::array<std::string_view, 18> kSessionWords = {
+      "abort", "begin",   "checkpoint", "commit", "copy",     "deallocate", "discard", "end",   "listen",
+      "load",  "prepare", "release",    "reset",  "rollback", "savepoint",  "set",     "start", "unlisten"};
+  std::string word;
+  for (const char character : skip_to_first_word(sql)) {
+    if (std::isalpha(static_cast<unsigned char>(character)) == 0) {
+      break;
+    }
+    word += static_cast<char>(std::tolower(static_cast<unsigned char>(character)));
+  }
+  return std::find(kSessionWords.begin(), kSessionWords.end(), word) != kSessionWords.end();
+}
+
+bool has_session_statement(const UpstreamOperation& operation) {
+  const std::vector<Statement>* statements = nullptr;
+  if (const auto* run = std::get_if<RunStatements>(&operation)) {
+    statements = &run->statements;
+  } else if (const auto* run_in_transaction = std::get_if<RunInTransaction>(&operation)) {
+    statements = &run_in_transaction->statements;
+  }
+  return statements != nullptr && std::any_of(statements->begin(), statements->end(), [](const Statement& statement) {
+           return is_session_statement(statement.sql);
+         });
+}
+
+}  // namespace teaselrudder
