Add a test double of a database member and tests of the adapter

Cause: the adapter has to be tested against the published protocol without a third-party server, and end-to-end tests need members with faults.

It runs as an object on a loop or as the program database_member.

Ruled out: copies of the whole table and of all request records for each statement, which make a long run quadratic; literals in SQL, which the adapter does not need.

--- /dev/null
+++ b/tests/stand_ins/member_replica.cc
@@ -0,0 +1,56 @@
+#include "tests/stand_ins/member_replica.h"
+
+#include <algorithm>
+
+#include "tests/stand_ins/database_member.h"
+#include "tests/stand_ins/wire_format.h"
+
+namespace teaselrudder::testing {
+
+namespace {
+
+constexpr std::uint64_t kPullIntervalMs = 2;
+constexpr std::size_t kLengthBytes = 4;
+
+}  // namespace
+
+void MemberReplica::pull() {
+  const std::string request = m_member.state().replication_request();
+  send(WireWriter().number(kReplicationCode).message(0) + WireWriter().sized(request).bytes());
+}
+
+void MemberReplica::on_data(std::string_view data) {
+  m_input += data;
+  m_has_answer =
+      m_input.size() >= kLengthBytes && m_input.size() - kLengthBytes >= WireReader(m_input).number<std::uint32_t>();
+  if (!m_has_answer) {
+    return;
+  }
+  const std::uint64_t lag = m_member.settings().receive_lag_ms;
+  if (lag == 0 && !m_member.is_frozen()) {
+    apply();
+  }
+  start_timer(std::max(lag, kPullIntervalMs));
+}
+
+void MemberReplica::on_timer() {
+  if (m_member.is_frozen()) {
+    start_timer(kPullIntervalMs);
+    return;
+  }
+  if (m_has_answer) {
+    apply();
+  }
+  pull();
+}
+
+void MemberReplica::apply() {
+  m_member.state().apply_replication(WireReader(m_input).sized().value_or(""));
+  m_member.on_records_received();
+  m_input.clear();
+  m_has_answer = false;
+}
+
+void MemberReplica::on_close() { m_member.on_replica_closed(); }
+
+}  // namespace teaselrudder::testing
--- /dev/null
+++ b/tests/stand_ins/wire_format.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace teaselrudder::testing {
+
+/// Appends big-endian numbers and texts, as the PostgreSQL protocol and the replication of the test double use them.
+class WireWriter {
+ public:
+  template <typename Number>
+  WireWriter& number(Number value) {
+    for (std::size_t byte = sizeof(Number); byte > 0; --byte) {
+      m_bytes += static_cast<char>(static_cast<std::uint64_t>(value) >> (8 * (byte - 1)));
+    }
+    return *this;
+  }
+  /// Appends a text with a terminating zero.
+  WireWriter& text(std::string_view value) {
+    m_bytes.append(value).push_back('\0');
+    return *this;
+  }
+  /// Appends bytes with their length in front; the length of an absent value is -1.
+  WireWriter& sized(const std::optional<std::string>& value) {
+    number<std::int32_t>(value.has_value() ? static_cast<std::int32_t>(value->size()) : -1);
+    m_bytes += value.value_or("");
+    return *this;
+  }
+  /// Returns the bytes as a message of the protocol: type, length, body. Type zero leaves the type out.
+  std::string message(char type) const {
+    WireWriter framed;
+    framed.number(static_cast<std::uint32_t>(m_bytes.size() + sizeof(std::uint32_t)));
+    return (type == 0 ? std::string() : std::string(1, type)) + framed.m_bytes + m_bytes;
+  }
+  const std::string& bytes() const { return m_bytes; }
+
+ private:
+  std::string m_bytes;
+};
+
+/// Reads what WireWriter writes. Reading past the end gives zeros and empty texts.
+class WireReader {
+ public:
+  explicit WireReader(std::string_view bytes) : m_bytes(bytes) {}
+
+  template <typename Number>
+  Number number() {
+    std::uint64_t value = 0;
+    for (const char byte : take(sizeof(Number))) {
+      value = (value << 8) | static_cast<unsigned char>(byte);
+    }
+    return static_cast<Number>(value);
+  }
+  std::string text() {
+    std::string value(m_bytes.substr(0, m_bytes.find('\0')));
+    take(value.size() + 1);
+    return value;
+  }
+  std::optional<std::string> sized() {
+    const auto size = number<std::int32_t>();
+    return size < 0 ? std::nullopt : std::optional(std::string(take(static_cast<std::size_t>(size))));
+  }
+
+ private:
+  std::string_view take(std::size_t size) {
+    const std::string_view taken = m_bytes.substr(0, size);
+    m_bytes.remove_prefix(taken.size());
+    return taken;
+  }
+
+  std::string_view m_bytes;
+};
+
+}  // namespace teaselrudder::testing
