Bound unfinished messages exactly and refuse text that the protocol cuts

Cause: the size of a message that libpq still assembles was estimated from the unread bytes before each read. Bytes that one read left behind were counted again, so a large answer within the bound could be rejected. A value with a zero byte was sent up to that byte only, which would have stored a wrong value.

Now the adapter takes the bytes received from the kernel's TCP counters and subtracts the unread ones. A statement or parameter with a zero byte, or with more than 65535 parameters, is refused before anything is sent.

Ruled out: the unread bytes before minus those after a read, which miss what arrives in between; the counter of received bytes as the sign that an answer began, because it counts the end of the stream as a byte (seen as a failure of reports_lost_connections).

Conclusion: an answer holds at most max_answer_bytes of rows and as much again of an unfinished message.

--- a/drivers/postgres/operation_script.cc
+++ b/drivers/postgres/operation_script.cc
@@ -10,6 +10,11 @@
 
 namespace {
 
+/// The protocol counts parameters in 16 bits.
+constexpr std::size_t kMaxParameters = 65535;
+
+bool contains_zero(std::string_view text) { return text.find('\0') != std::string_view::npos; }
+
 /// Builds the script of each operation.
 class ScriptBuilder {
  public:
@@ -158,16 +163,25 @@
   return std::find(kSessionWords.begin(), kSessionWords.end(), word) != kSessionWords.end();
 }
 
-bool has_session_statement(const UpstreamOperation& operation) {
-  const std::vector<Statement>* statements = nullptr;
-  if (const auto* run = std::get_if<RunStatements>(&operation)) {
-    statements = &run->statements;
-  } else if (const auto* run_in_transaction = std::get_if<RunInTransaction>(&operation)) {
-    statements = &run_in_transaction->statements;
+std::optional<UpstreamError> find_refusal(const Script& script) {
+  const auto refuse = [](const char* sqlstate, const char* message) {
+    return UpstreamError{UpstreamErrorKind::kStatementFailed, false, sqlstate, message};
+  };
+  for (const Command& command : script) {
+    if (command.role == CommandRole::kStatement && is_session_statement(command.sql)) {
+      return refuse(member_sql::kFeatureNotSupported, "statement controls the transaction or the session");
+    }
+    if (command.parameters.size() > kMaxParameters) {
+      return refuse(member_sql::kTooManyArguments, "too many parameters");
+    }
+    const bool has_zero_byte = std::any_of(
+        command.parameters.begin(), command.parameters.end(),
+        [](const std::optional<std::string>& parameter) { return parameter.has_value() && contains_zero(*parameter); });
+    if (has_zero_byte || contains_zero(command.sql)) {
+      return refuse(member_sql::kInvalidCharacter, "zero byte in a statement or parameter");
+    }
   }
-  return statements != nullptr && std::any_of(statements->begin(), statements->end(), [](const Statement& statement) {
-           return is_session_statement(statement.sql);
-         });
+  return std::nullopt;
 }
 
 }  // namespace teaselrudder
--- a/drivers/postgres/operation_script.h
+++ b/drivers/postgres/operation_script.h
@@ -44,7 +44,8 @@
 /// Such a statement breaks the rules that the operations rely on, or leaks into requests of other callers.
 bool is_session_statement(std::string_view sql);
 
-/// Tells whether a statement of `operation` is a session statement.
-bool has_session_statement(const UpstreamOperation& operation);
+/// Returns the error of a script that must not be sent, or nothing: it has a session statement, a zero byte, at which
+/// the protocol would cut the text short, or more parameters than the protocol can count.
+std::optional<UpstreamError> find_refusal(const Script& script);
 
 }  // namespace teaselrudder
--- a/drivers/postgres/postgres_connection.cc
+++ b/drivers/postgres/postgres_connection.cc
@@ -1,13 +1,13 @@
 #include "drivers/postgres/postgres_connection.h"
 
-#include <sys/ioctl.h>
-
+#include <algorithm>
 #include <array>
 #include <cctype>
 #include <cstdlib>
 #include <string_view>
 
 #include "drivers/postgres/member_sql.h"
+#include "drivers/postgres/socket_counters.h"
 
 namespace teaselrudder {
 
@@ -21,6 +21,8 @@
 constexpr std::size_t kRowBytes = sizeof(std::vector<std::optional<std::string>>);
 constexpr std::size_t kCellBytes = sizeof(std::optional<std::string>);
 
+constexpr char kTooLarge[] = "the answer is too large";
+
 /// Notices would go to the standard error otherwise.
 void ignore_notice(void* /*argument*/, const PGresult* /*result*/) {}
 
@@ -121,11 +123,9 @@
   m_state = State::kBusy;
   m_operation = operation;
   m_details = std::move(details);
-  m_refusal.reset();
   m_script = build_script(m_details);
-  if (has_session_statement(m_details)) {
-    m_refusal = UpstreamError{UpstreamErrorKind::kStatementFailed, false, member_sql::kFeatureNotSupported,
-                              "statement controls the transaction or the session"};
+  m_refusal = find_refusal(m_script);
+  if (m_refusal.has_value()) {
     // A refused statement ends an open transaction like one that the member rejects.
     m_script = build_rollback();
   }
@@ -133,7 +133,8 @@
   m_next = 0;
   m_handed_over = false;
   m_held_bytes = 0;
-  m_unparsed_bytes = 0;
+  m_read_bytes = received_bytes(PQsocket(m_connection.get()));
+  m_parsed_bytes = m_read_bytes;
   m_answer_began = false;
   if (!send_script()) {
     m_failure = first_line(PQerrorMessage(m_connection.get()));
@@ -312,27 +313,28 @@
 }
 
 void PostgresConnection::receive() {
-  int arrived = 0;
-  ioctl(PQsocket(m_connection.get()), FIONREAD, &arrived);
+  // Read before the call, because a lost connection leaves no socket behind.
+  const std::uint64_t received = received_bytes(PQsocket(m_connection.get()));
+  const bool arrived = unread_bytes(PQsocket(m_connection.get())) > 0;
   const bool connected = PQconsumeInput(m_connection.get()) == 1;
   if (m_state == State::kIdle) {
     // Parses notices and a farewell of the member, which libpq then drops.
     PQisBusy(m_connection.get());
   } else {
-    m_unparsed_bytes += static_cast<std::size_t>(arrived);
-    m_answer_began = m_answer_began || arrived > 0;
+    m_answer_began = m_answer_began || arrived;
+    m_read_bytes = std::max(m_read_bytes, received - std::min(received, unread_bytes(PQsocket(m_connection.get()))));
     read_results();
   }
   if (m_state == State::kClosed) {
     return;
   }
+  if (m_read_bytes - m_parsed_bytes > m_settings.max_answer_bytes) {
+    fail(UpstreamErrorKind::kBadAnswer, kTooLarge);
+    return;
+  }
   if (!connected) {
     fail(m_answer_began ? UpstreamErrorKind::kBadAnswer : UpstreamErrorKind::kConnectionLost,
          first_line(PQerrorMessage(m_connection.get())));
-    return;
-  }
-  if (m_unparsed_bytes > m_settings.max_answer_bytes) {
-    fail(UpstreamErrorKind::kBadAnswer, "the answer is too large");
   }
 }
 
@@ -342,7 +344,7 @@
       return;
     }
     const Result result(PQgetResult(m_connection.get()));
-    m_unparsed_bytes = 0;
+    m_parsed_bytes = m_read_bytes;
     if (result == nullptr) {
       end_command();
     } else {
@@ -411,7 +413,7 @@
     target.rows.push_back(std::move(values));
   }
   if (m_held_bytes > m_settings.max_answer_bytes) {
-    fail(UpstreamErrorKind::kBadAnswer, "the answer is too large");
+    fail(UpstreamErrorKind::kBadAnswer, kTooLarge);
   }
 }
 
--- a/drivers/postgres/postgres_connection.h
+++ b/drivers/postgres/postgres_connection.h
@@ -3,6 +3,7 @@
 #include <libpq-fe.h>
 #include <uv.h>
 
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
@@ -119,8 +120,10 @@
   std::optional<UpstreamError> m_refusal;
   bool m_handed_over = false;
   std::size_t m_held_bytes = 0;
-  // Bytes that arrived since libpq last returned a result: the size of a message that is not complete yet.
-  std::size_t m_unparsed_bytes = 0;
+  // Bytes of the connection that libpq has read, in all and when it last returned a result. The difference is the part
+  // of an incomplete message that libpq holds.
+  std::uint64_t m_read_bytes = 0;
+  std::uint64_t m_parsed_bytes = 0;
   bool m_answer_began = false;
 };
 
--- a/tests/drivers/postgres_upstreams_test.cc
+++ b/tests/drivers/postgres_upstreams_test.cc
@@ -72,9 +72,11 @@
   CPPUNIT_TEST(settles_requests);
   CPPUNIT_TEST(rolls_back_rejected_statements);
   CPPUNIT_TEST(refuses_session_statements);
+  CPPUNIT_TEST(refuses_text_that_the_protocol_cannot_carry);
   CPPUNIT_TEST(rejects_operations_that_do_not_fit_the_transaction);
   CPPUNIT_TEST(refuses_writes_after_a_raised_term);
   CPPUNIT_TEST(replicates_promotes_and_truncates);
+  CPPUNIT_TEST(waits_for_a_slot);
   CPPUNIT_TEST(reports_an_answer_cut_short);
   CPPUNIT_TEST(bounds_the_answer);
   CPPUNIT_TEST(distinguishes_a_silent_connection);
@@ -202,6 +204,16 @@
     CPPUNIT_ASSERT_EQUAL(std::string(""), value(connection, "k"));
   }
 
+  // Guards against a value that is stored up to its first zero byte only.
+  void refuses_text_that_the_protocol_cannot_carry() {
+    const ConnectionId connection = open(start_primary());
+    const UpstreamError zero = fail(connection, write(1, "a", {put("k", std::string("1\0002", 3))}));
+    CPPUNIT_ASSERT(zero.sqlstate == "22021" && !zero.may_have_run);
+    const Statement many{"SELECT 1", std::vector<std::optional<std::string>>(65536, "1")};
+    CPPUNIT_ASSERT_EQUAL(std::string("54023"), fail(connection, read({many})).sqlstate);
+    CPPUNIT_ASSERT_EQUAL(std::string(""), value(connection, "k"));
+  }
+
   // Guards against a COMMIT without a transaction, which a member answers like a real one.
   void rejects_operations_that_do_not_fit_the_transaction() {
     const ConnectionId connection = open(start_primary());
@@ -239,6 +251,10 @@
     const LogPosition shared = run<StatementsResult>(to_first, write(1, "a", {put("k", "1")})).after.received;
     run_until([&] { return second->state().status().replayed == shared; });
     CPPUNIT_ASSERT_EQUAL(std::string("1"), value(to_second, "k"));
+    second->set_lag(0, 3'600'000);
+    const LogPosition unseen = run<StatementsResult>(to_first, write(1, "unseen", {append("k", "+")})).after.received;
+    run_until([&] { return second->state().received() == unseen; });
+    CPPUNIT_ASSERT_EQUAL(std::string("1"), value(to_second, "k"));
     // From here on the records of term 1 do not reach the second member.
     CPPUNIT_ASSERT(run<GrantResult>(to_second, RaiseTerm{Term(2), kHost}).granted);
     run<StatementsResult>(to_first, write(1, "b", {append("k", "lost")}));
@@ -250,11 +266,22 @@
     const MemberStatus followed = run<StatusResult>(to_first, ReportStatus{}).status;
     CPPUNIT_ASSERT(followed.raised_term == Term(2) && followed.log_term == Term(2) && !followed.is_primary);
     CPPUNIT_ASSERT_EQUAL(promoted.history.to_string(), followed.history.to_string());
-    CPPUNIT_ASSERT_EQUAL(std::string("12"), value(to_first, "k"));
+    CPPUNIT_ASSERT_EQUAL(std::string("1+2"), value(to_first, "k"));
     // The request record of the truncated write is gone with it, and that of the replicated one is kept.
     CPPUNIT_ASSERT(!first->state().data().requests.contains("b") && first->state().data().requests.contains("a"));
   }
 
+  // Guards against a test double without queueing, in front of which scheduling could not be measured.
+  void waits_for_a_slot() {
+    const auto member = start_member({.slots = 1, .statement_ms = 5});
+    const ConnectionId first = open(member);
+    const ConnectionId second = open(member);
+    const OperationId sleeping = start(first, read({{"SELECT pg_sleep($1)", {"0.02"}}}));
+    run<StatusResult>(second, ReportStatus{});
+    value(second, "k");
+    CPPUNIT_ASSERT(m_events.completed.contains(sleeping));
+  }
+
   // Guards against a truncated answer that passes as a complete one, and against calling the write not run.
   void reports_an_answer_cut_short() {
     const auto member = start_primary();
@@ -266,7 +293,8 @@
     CPPUNIT_ASSERT(run<SettleResult>(open(member), SettleRequest{Term(1), RequestId("a")}).ran);
   }
 
-  // Guards against an answer that fills the memory of a host, in many rows or in one.
+  // Guards against an answer that fills the memory of a host, in many rows or in one that never ends, and against
+  // rejecting one that is within the bound but arrives in many pieces.
   void bounds_the_answer() {
     const auto member = start_primary();
     const ConnectionId connection = open(member);
@@ -276,7 +304,14 @@
     CPPUNIT_ASSERT(many.kind == UpstreamErrorKind::kBadAnswer);
     const ConnectionId next = open(member);
     run<StatementsResult>(next, write(1, "b", {put("k", std::string(m_settings.max_answer_bytes * 16, 'x'))}));
-    CPPUNIT_ASSERT(fail(next, read({select("k")})).kind == UpstreamErrorKind::kBadAnswer);
+    member->cut_next_answer();
+    const UpstreamError endless = fail(next, read({select("k")}));
+    CPPUNIT_ASSERT(endless.kind == UpstreamErrorKind::kBadAnswer);
+    CPPUNIT_ASSERT_EQUAL(many.message, endless.message);
+    PostgresSettings generous = m_settings;
+    generous.max_answer_bytes *= 18;
+    use_settings(generous);
+    CPPUNIT_ASSERT_EQUAL(m_settings.max_answer_bytes * 16, value(open(member), "k").size());
   }
 
   // Guards against taking a silent connection for a dead member, and against events after a connection was closed.
