Count complete rows and the unfinished message against one bound

Cause: rows and the unfinished message were bounded apart, so a connection could hold twice the constant.

Ruled out: counting libpq's transient copies of one row, which it does not report.

Conclusion: the bound covers rows and unfinished message together; one row may exist up to three times while it is copied.

--- a/drivers/postgres/postgres_connection.cc
+++ b/drivers/postgres/postgres_connection.cc
@@ -328,7 +328,7 @@
   if (m_state == State::kClosed) {
     return;
   }
-  if (m_read_bytes - m_parsed_bytes > m_settings.max_answer_bytes) {
+  if (m_held_bytes + (m_read_bytes - m_parsed_bytes) > m_settings.max_answer_bytes) {
     fail(UpstreamErrorKind::kBadAnswer, kTooLarge);
     return;
   }
