Add the event loop that serves KJ and libuv on one thread

Cause: Cap'n Proto RPC needs a KJ loop, h2o and libpq need a libuv loop, and the daemon has one thread. Ruled out: blocking in libuv with KJ polled, which has no descriptor to watch; a fixed polling interval, which either spins or delays work; relying on KJ alone to notice libuv work that starts in a KJ continuation, because libuv registers descriptors only in a round. Conclusion: timers and sockets of both libraries progress and the idle loop blocks.

--- /dev/null
+++ b/drivers/event_loop/event_loop.cc
@@ -0,0 +1,134 @@
+#include "drivers/event_loop/event_loop.h"
+
+#include <poll.h>
+
+#include <algorithm>
+#include <stdexcept>
+#include <string>
+#include <utility>
+
+namespace teaselrudder {
+
+namespace {
+
+/// Rounds that the destructor grants for the closing of handles. Each handle needs one or two.
+constexpr int kMaxClosingRounds = 1000;
+
+void check_uv(int status, const char* what) {
+  if (status != 0) {
+    throw std::runtime_error(std::string(what) + ": " + uv_strerror(status));
+  }
+}
+
+std::unique_ptr<uv_loop_t> make_uv_loop() {
+  auto loop = std::make_unique<uv_loop_t>();
+  check_uv(uv_loop_init(loop.get()), "uv_loop_init");
+  return loop;
+}
+
+}  // namespace
+
+EventLoop::EventLoop(const Clock& clock) : m_clock(clock), m_async_io(kj::setupAsyncIo()), m_uv_loop(make_uv_loop()) {
+  check_uv(uv_async_init(m_uv_loop.get(), &m_wakeup, [](uv_async_t*) {}), "uv_async_init");
+  check_uv(uv_timer_init(m_uv_loop.get(), &m_timer), "uv_timer_init");
+  m_timer.data = this;
+  m_backend_observer = kj::heap<kj::UnixEventPort::FdObserver>(m_async_io.unixEventPort, uv_backend_fd(m_uv_loop.get()),
+                                                               kj::UnixEventPort::FdObserver::OBSERVE_READ);
+}
+
+EventLoop::~EventLoop() {
+  m_backend_observer = nullptr;
+  uv_close(reinterpret_cast<uv_handle_t*>(&m_wakeup), nullptr);
+  uv_close(reinterpret_cast<uv_handle_t*>(&m_timer), nullptr);
+  for (int round = 0; round < kMaxClosingRounds; ++round) {
+    run_uv_round();
+    if (uv_loop_close(m_uv_loop.get()) == 0) {
+      return;
+    }
+  }
+  // A user left a handle open that still points at the loop, so the loop's memory must stay.
+  static_cast<void>(m_uv_loop.release());
+}
+
+void EventLoop::run() {
+  while (!m_stopping.exchange(false)) {
+    run_uv_round();
+    if (!m_stopping) {
+      wait_for_work();
+    }
+  }
+}
+
+void EventLoop::stop() {
+  m_stopping = true;
+  uv_async_send(&m_wakeup);
+}
+
+void EventLoop::run_uv_round() {
+  ++m_rounds;
+  m_in_round = true;
+  uv_run(m_uv_loop.get(), UV_RUN_NOWAIT);
+  m_in_round = false;
+}
+
+void EventLoop::request_round() {
+  if (!m_in_round) {
+    uv_async_send(&m_wakeup);
+  }
+}
+
+bool EventLoop::uv_has_work() const {
+  // The observer reports changes only, so what libuv left unread in the last round must be looked for.
+  pollfd backend{uv_backend_fd(m_uv_loop.get()), POLLIN, 0};
+  return poll(&backend, 1, 0) > 0;
+}
+
+void EventLoop::wait_for_work() {
+  const int timeout = uv_backend_timeout(m_uv_loop.get());
+  // Asked for before the descriptor is looked at, so that no change falls between the two.
+  kj::Promise<void> readable = m_backend_observer->whenBecomesReadable();
+  if (timeout == 0 || uv_has_work()) {
+    m_async_io.waitScope.poll();
+    return;
+  }
+  if (timeout > 0) {
+    kj::Timer& timer = m_async_io.provider->getTimer();
+    readable = readable.exclusiveJoin(timer.afterDelay(timeout * kj::MILLISECONDS));
+  }
+  readable.wait(m_async_io.waitScope);
+}
+
+void EventLoop::schedule(TimePoint at, std::function<void()> callback) {
+  m_scheduled_at = at;
+  m_scheduled = std::move(callback);
+  start_timer();
+  request_round();
+}
+
+void EventLoop::cancel_schedule() {
+  m_scheduled = nullptr;
+  uv_timer_stop(&m_timer);
+}
+
+void EventLoop::start_timer() {
+  const Duration left = std::max(m_scheduled_at - m_clock.now(), Duration::zero());
+  const auto rounded_up = std::chrono::ceil<std::chrono::milliseconds>(left).count();
+  uv_update_time(m_uv_loop.get());
+  uv_timer_start(
+      &m_timer, [](uv_timer_t* timer) { static_cast<EventLoop*>(timer->data)->on_timer(); },
+      static_cast<std::uint64_t>(rounded_up), 0);
+}
+
+void EventLoop::on_timer() {
+  // libuv counts whole milliseconds and may be up to one of them early.
+  if (m_clock.now() < m_scheduled_at) {
+    start_timer();
+    return;
+  }
+  const std::function<void()> callback = std::exchange(m_scheduled, nullptr);
+  if (callback) {
+    callback();
+  }
+}
+
+}  // namespace teaselrudder
