Add structured log lines on stderr

Cause: state changes must be readable by machines and must not mix with the ready line on stdout. Ruled out: a threshold of easylogging++, whose level constants do not ascend by severity; each level is switched on or off by itself. Conclusion: values with spaces, quotes or control characters cannot forge fields or lines.

--- /dev/null
+++ b/main/logging.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace teaselrudder {
+
+/// Fields of a log line in the order in which they are written.
+using LogFields = std::vector<std::pair<std::string_view, std::string>>;
+
+/// Sets up log lines on stderr. `level` is debug, info, warning or error; lines of a lower level are dropped.
+void setup_logging(std::string_view level);
+
+/// Returns `event=<event> key=value ...`. Values that a reader could not tell from the rest of the line are quoted.
+std::string format_log_line(std::string_view event, const LogFields& fields);
+
+/// Logs a change of state at level info.
+void log_state_change(std::string_view event, const LogFields& fields);
+
+/// Logs a failure that the process survives, at level warning.
+void log_warning(std::string_view event, const LogFields& fields);
+
+/// Logs a failure that ends the process, at level error.
+void log_error(std::string_view event, const LogFields& fields);
+
+}  // namespace teaselrudder
