--- a/drivers/http/http_server.cc
+++ b/drivers/http/http_server.cc
@@ -82,8 +82,11 @@
   std::size_t open_requests() const { return m_requests.size(); }
   std::size_t connections() const { return m_connections.size(); }
 
-  /// Breaks all connections and frees what h2o holds. Returns false if something is still in use.
-  bool dispose();
+  /// Breaks all connections and frees what h2o holds.
+  void dispose();
+
+  /// Tells whether dispose() could free everything.
+  bool disposed() const { return m_disposed; }
 
  private:
   /// One accepted connection.
@@ -153,6 +156,7 @@
   bool m_stopping = false;
   /// The handler must not be called any more.
   bool m_disposing = false;
+  bool m_disposed = false;
   std::uint16_t m_port = 0;
   /// Watches all connections for the end of the client's side. h2o does not read from an HTTP/1.1 connection while a
   /// request is open, so it would notice a lost client only when it writes the answer.
@@ -432,7 +436,10 @@
   uv_close(reinterpret_cast<uv_handle_t*>(&m_disconnect_poll), nullptr);
 }
 
-bool HttpServer::State::dispose() {
+void HttpServer::State::dispose() {
+  if (m_disposing) {
+    return;
+  }
   m_disposing = true;
   m_stopping = true;
   m_drained = nullptr;
@@ -450,7 +457,7 @@
   m_loop.run_uv_round();
   close(m_disconnects);
   if (!m_connections.empty()) {
-    return false;
+    return;
   }
   // The second GOAWAY of a graceful stop is due a second after the first, and h2o does not cancel it.
   h2o_timeout_unlink(&m_context.http2._graceful_shutdown_timeout);
@@ -458,14 +465,16 @@
   h2o_config_dispose(&m_config);
   // The handles of h2o's timeouts lie in the context and are let go in a round.
   m_loop.run_uv_round();
-  return true;
+  m_disposed = true;
 }
 
 HttpServer::HttpServer(EventLoop& loop, HttpHandler& handler, std::size_t max_body_bytes)
     : m_state(std::make_unique<State>(loop, handler, max_body_bytes)) {}
 
 HttpServer::~HttpServer() {
-  if (!m_state->dispose()) {
+  m_state->dispose();
+  if (!m_state->disposed()) {
+    // h2o and libuv still point at the state, so its memory must stay.
     static_cast<void>(m_state.release());
   }
 }
@@ -480,6 +489,8 @@
 
 void HttpServer::close_idle_connections() { m_state->close_idle_connections(); }
 
+void HttpServer::shut_down() { m_state->dispose(); }
+
 std::size_t HttpServer::open_requests() const { return m_state->open_requests(); }
 
 std::size_t HttpServer::connections() const { return m_state->connections(); }
--- a/drivers/http/http_server.h
+++ b/drivers/http/http_server.h
@@ -56,7 +56,7 @@
   HttpServer(EventLoop& loop, HttpHandler& handler, std::size_t max_body_bytes);
   HttpServer(const HttpServer&) = delete;
   HttpServer& operator=(const HttpServer&) = delete;
-  /// Breaks the connections that are still open. Not to be called from a callback of the server.
+  /// Does what shut_down() does.
   ~HttpServer();
 
   /// Starts to accept connections at `endpoint`; port 0 picks a free one. The error is one line.
@@ -76,6 +76,10 @@
   /// Ends HTTP/1.1 connections without an open request. Requests that the system received before are still served.
   void close_idle_connections();
 
+  /// Breaks all connections and never calls the handler again. For the end of the process, before the handler goes. Not
+  /// to be called from a callback of the server.
+  void shut_down();
+
   /// Returns the number of requests without an answer.
   std::size_t open_requests() const;
 
