--- a/main/flag_parser.cc
+++ b/main/flag_parser.cc
@@ -26,6 +26,11 @@
   return result.empty() ? describe_bad_value(rule.name, value, rule.allowed) : "";
 }
 
+bool is_boolean(const std::string& flag) {
+  google::CommandLineFlagInfo info;
+  return google::GetCommandLineFlagInfo(flag.c_str(), &info) && info.type == "bool";
+}
+
 std::string apply_environment(const std::vector<FlagRule>& rules, const Environment& environment) {
   for (const FlagRule& rule : rules) {
     const auto value = environment(variable_name(rule.name));
@@ -62,10 +67,15 @@
     if (rule == rules.end()) {
       return tl::unexpected("--" + name + ": unknown flag; --help lists the flags");
     }
-    if (equals == std::string::npos && std::next(argument) == arguments.end()) {
-      return tl::unexpected("--" + name + ": no value; expected " + rule->allowed);
+    std::string value = "true";
+    if (equals != std::string::npos) {
+      value = argument->substr(equals + 1);
+    } else if (!is_boolean(name)) {
+      if (std::next(argument) == arguments.end()) {
+        return tl::unexpected("--" + name + ": no value; expected " + rule->allowed);
+      }
+      value = *++argument;
     }
-    const std::string value = equals == std::string::npos ? *++argument : argument->substr(equals + 1);
     if (const std::string error = set_flag(*rule, value); !error.empty()) {
       return tl::unexpected(error);
     }
--- a/main/flag_parser.h
+++ b/main/flag_parser.h
@@ -24,9 +24,9 @@
 };
 
 /// Sets the flags in `rules` from the environment variables `TEASELRUDDER_<FLAG>` in upper case and then from
-/// `arguments` (`--name=value` or `--name value`), which win, and returns the other arguments. The error names the
-/// flag, the value and what is allowed. The parser of gflags is not used, because it ends the process with its own exit
-/// code.
+/// `arguments` (`--name=value`, `--name value`, and `--name` alone for a Boolean flag), which win, and returns the
+/// other arguments. The error names the flag, the value and what is allowed. The parser of gflags is not used, because
+/// it ends the process with its own exit code.
 tl::expected<std::vector<std::string>, std::string> apply_flags(const std::vector<FlagRule>& rules,
                                                                 const std::vector<std::string>& arguments,
                                                                 const Environment& environment);
