Add the adapter to the platform's store and its test double

Cause: StorePort and HostListPort had no adapter.

EtcdStore speaks the etcd v3 JSON form over HTTP/1.1 with h2o's client on a libuv loop. The codec is apart from the transport and uses no socket. Each call and each start of a watch takes one call of a token bucket. An attempt moves on to the next endpoint only if no connection came about, so a request is never sent twice, and a swap that was sent may have taken effect whatever goes wrong later. A silent watch is reported as failed after watch_idle_timeout.

Ruled out: - h2o's socket pool: it needs a timer whose handle is closed without a callback, so the pool could not be freed safely while the loop still holds the handle. Without the pool the library connects to IPv4 addresses only. - Kept connections: a request on a connection that the server is closing has an unknown outcome, and calls are few. - Leases: StorePort has no method for them.

The test double keeps its content in memory and switches faults by methods or by lines on the standard input: down, delay, lost answers, silent watches, garbage, dropped watches, compaction.

--- /dev/null
+++ b/drivers/store/call_budget.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <algorithm>
+
+#include "core/time.h"
+
+namespace teaselrudder {
+
+/// Limits the calls of this host to the platform's store: a token bucket.
+///
+/// The store allows several hundred writes/s and about two thousand reads/s for the whole fleet, so each host gets a
+/// small share.
+class CallBudget {
+ public:
+  /// `rate` is in calls per second; `burst` is the number of calls that may follow each other at once.
+  CallBudget(double rate, double burst, TimePoint now)
+      : m_rate(rate), m_burst(burst), m_tokens(burst), m_updated(now) {}
+
+  /// Takes one call from the budget. Returns false and takes nothing if it is used up.
+  bool try_take(TimePoint now) {
+    refill(now);
+    if (m_tokens < 1.0) {
+      return false;
+    }
+    m_tokens -= 1.0;
+    return true;
+  }
+
+ private:
+  void refill(TimePoint now) {
+    if (now <= m_updated) {
+      return;
+    }
+    const std::chrono::duration<double> elapsed = now - m_updated;
+    m_tokens = std::min(m_burst, m_tokens + elapsed.count() * m_rate);
+    m_updated = now;
+  }
+
+  double m_rate;
+  double m_burst;
+  double m_tokens;
+  TimePoint m_updated;
+};
+
+}  // namespace teaselrudder
--- /dev/null
+++ b/tests/drivers/etcd_json_test.cc
@@ -0,0 +1,161 @@
+#include "drivers/store/etcd_json.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+#include "drivers/store/base64.h"
+#include "drivers/store/call_budget.h"
+
+namespace teaselrudder {
+
+namespace {
+
+const std::string kRange =
+    R"({"header":{"revision":"9"},"kvs":[{"key":"aw==","value":"dg==","mod_revision":"7"}],"count":"1"})";
+const std::string kSwapped =
+    R"({"header":{"revision":"8"},"succeeded":true,"responses":[{"response_put":{"header":{"revision":"8"}}}]})";
+const std::string kChange =
+    R"({"result":{"header":{"revision":"8"},"events":[{"kv":{"key":"aw==","value":"dg==","mod_revision":"8"}}]}})";
+const std::string kHosts =
+    R"([{"host":"a","failure_domain":"d","ip":"10.0.0.1","port":7000,"incarnation":3,"state":"leaving"}])";
+
+std::string replaced(std::string text, const std::string& from, const std::string& to) {
+  return text.replace(text.find(from), from.size(), to);
+}
+
+class EtcdJsonTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(EtcdJsonTest);
+  CPPUNIT_TEST(base64_round_trips);
+  CPPUNIT_TEST(base64_matches_the_standard);
+  CPPUNIT_TEST(reads_answers);
+  CPPUNIT_TEST(rejects_every_truncation);
+  CPPUNIT_TEST(rejects_wrong_fields);
+  CPPUNIT_TEST(round_trips_host_lists);
+  CPPUNIT_TEST(rejects_wrong_host_lists);
+  CPPUNIT_TEST(budget_never_exceeds_rate_and_burst);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Guards against values that change on their way to the store and back.
+  void base64_round_trips() {
+    CPPUNIT_ASSERT(rc::check([](const std::string& bytes) {
+      const bool same = base64_decode(base64_encode(bytes)) == bytes;
+      RC_ASSERT(same);
+    }));
+  }
+
+  // Guards against an encoding that only its own decoder understands (examples of RFC 4648).
+  void base64_matches_the_standard() {
+    CPPUNIT_ASSERT_EQUAL(std::string("Zm9vYmE="), base64_encode("fooba"));
+    CPPUNIT_ASSERT_EQUAL(std::string("Zm9vYmFy"), base64_encode("foobar"));
+    CPPUNIT_ASSERT_EQUAL(std::string("Zm9vYg=="), base64_encode("foob"));
+    for (const char* wrong : {"Zg", "Zg=", "Z===", "Zh==", "Zm9=", "Zg==Zg==", "Z*==", "====", "Zm9vYg==\n"}) {
+      CPPUNIT_ASSERT_MESSAGE(wrong, !base64_decode(wrong).has_value());
+    }
+  }
+
+  // Guards against wrong revisions, which would let a compare-and-swap overwrite another change.
+  void reads_answers() {
+    const StoreValue read = decode_range(kRange, "k").value();
+    CPPUNIT_ASSERT(read.value == "v" && read.modified == StoreRevision(7) && read.current == StoreRevision(9));
+    const StoreValue absent = decode_range(R"({"header":{"revision":"9"}})", "k").value();
+    CPPUNIT_ASSERT(!absent.value.has_value() && absent.modified == StoreRevision(0));
+
+    const CompareAndSwapResult won = decode_compare_and_swap(kSwapped, "k", "new").value();
+    CPPUNIT_ASSERT(won.swapped && won.present.value == "new" && won.present.modified == StoreRevision(8));
+    const std::string lost_answer = R"({"header":{"revision":"9"},"responses":[{"response_range":)" + kRange + "}]}";
+    const CompareAndSwapResult lost = decode_compare_and_swap(lost_answer, "k", "new").value();
+    CPPUNIT_ASSERT(!lost.swapped && lost.present.value == "v" && lost.present.modified == StoreRevision(7));
+
+    const WatchMessage change = decode_watch_line(kChange, "k").value();
+    CPPUNIT_ASSERT(change.changes.size() == 1 && change.changes.front().value == "v");
+    const std::string removed =
+        R"({"result":{"header":{"revision":"8"},"events":[{"type":"DELETE","kv":{"key":"aw==","mod_revision":"8"}}]}})";
+    CPPUNIT_ASSERT(!decode_watch_line(removed, "k").value().changes.front().value.has_value());
+    CPPUNIT_ASSERT(decode_watch_line(R"({"result":{"canceled":true}})", "k").value().cancelled);
+  }
+
+  // Guards against an answer that was cut off and is taken for a whole one.
+  void rejects_every_truncation() {
+    for (std::size_t length = 0; length < kRange.size(); ++length) {
+      CPPUNIT_ASSERT(!decode_range(kRange.substr(0, length), "k").has_value());
+    }
+    for (std::size_t length = 0; length < kSwapped.size(); ++length) {
+      CPPUNIT_ASSERT(!decode_compare_and_swap(kSwapped.substr(0, length), "k", "v").has_value());
+    }
+    for (std::size_t length = 0; length < kChange.size(); ++length) {
+      CPPUNIT_ASSERT(!decode_watch_line(kChange.substr(0, length), "k").has_value());
+    }
+    for (std::size_t length = 0; length < kHosts.size(); ++length) {
+      CPPUNIT_ASSERT(!decode_host_list(kHosts.substr(0, length)).has_value());
+    }
+  }
+
+  // Guards against answers of another kind, another key or another store that are acted on.
+  void rejects_wrong_fields() {
+    CPPUNIT_ASSERT(!decode_range(kRange, "other").has_value());
+    CPPUNIT_ASSERT(!decode_range(replaced(kRange, "\"9\"", "\"nine\""), "k").has_value());
+    CPPUNIT_ASSERT(!decode_range(replaced(kRange, "\"9\"", "\"99999999999999999999\""), "k").has_value());
+    CPPUNIT_ASSERT(!decode_range(replaced(kRange, "\"7\"", "\"10\""), "k").has_value());
+    CPPUNIT_ASSERT(!decode_range(replaced(kRange, "dg==", "d==="), "k").has_value());
+    CPPUNIT_ASSERT(!decode_range(replaced(kRange, "[{", "[{},{"), "k").has_value());
+    CPPUNIT_ASSERT(!decode_range("{}", "k").has_value());
+    CPPUNIT_ASSERT(!decode_range("[]", "k").has_value());
+    CPPUNIT_ASSERT(!decode_compare_and_swap(kRange, "k", "v").has_value());
+    CPPUNIT_ASSERT(!decode_compare_and_swap(replaced(kSwapped, "true", "\"yes\""), "k", "v").has_value());
+    CPPUNIT_ASSERT(!decode_watch_line(R"({"error":{"code":14}})", "k").has_value());
+    CPPUNIT_ASSERT(!decode_watch_line(kChange, "other").has_value());
+  }
+
+  // Guards against a host list that loses a state or an incarnation.
+  void round_trips_host_lists() {
+    CPPUNIT_ASSERT(rc::check([](std::uint64_t incarnation) {
+      const auto state = static_cast<HostState>(*rc::gen::inRange(0, 4));
+      const Endpoint endpoint{"10.0.0.1", static_cast<std::uint16_t>(*rc::gen::inRange(1, 65536))};
+      const std::vector<HostRecord> hosts = {
+          {HostId("a"), FailureDomainId("d"), endpoint, Incarnation(incarnation), state},
+          {HostId("b"), FailureDomainId("e"), {"fd00::1", 1}, Incarnation(0), HostState::kAlive}};
+      const bool same = decode_host_list(encode_host_list(hosts)) == hosts;
+      RC_ASSERT(same);
+    }));
+  }
+
+  // Guards against a faulty list that replaces what the hosts know.
+  void rejects_wrong_host_lists() {
+    CPPUNIT_ASSERT(decode_host_list(kHosts).has_value());
+    CPPUNIT_ASSERT(!decode_host_list("{}").has_value());
+    CPPUNIT_ASSERT(!decode_host_list(replaced(kHosts, "leaving", "gone")).has_value());
+    CPPUNIT_ASSERT(!decode_host_list(replaced(kHosts, "10.0.0.1", "host.example")).has_value());
+    CPPUNIT_ASSERT(!decode_host_list(replaced(kHosts, "7000", "70000")).has_value());
+    CPPUNIT_ASSERT(!decode_host_list(replaced(kHosts, "7000", "0")).has_value());
+    CPPUNIT_ASSERT(!decode_host_list(replaced(kHosts, "\"incarnation\":3", "\"incarnation\":-3")).has_value());
+    CPPUNIT_ASSERT(!decode_host_list(replaced(kHosts, "\"a\"", "\"\"")).has_value());
+    const std::string twice = replaced(kHosts, "]", "," + kHosts.substr(1));
+    CPPUNIT_ASSERT(!decode_host_list(twice).has_value());
+  }
+
+  // Guards against a host that takes more than its share of the store's rate, also with irregular calls.
+  void budget_never_exceeds_rate_and_burst() {
+    CPPUNIT_ASSERT(rc::check([] {
+      constexpr double kRate = 5.0;
+      constexpr double kBurst = 3.0;
+      TimePoint now{};
+      CallBudget budget(kRate, kBurst, now);
+      int taken = 0;
+      for (int step = 0; step < 100; ++step) {
+        now += std::chrono::milliseconds(*rc::gen::inRange(0, 200));
+        taken += budget.try_take(now) ? 1 : 0;
+        const std::chrono::duration<double> elapsed = now.time_since_epoch();
+        RC_ASSERT(taken <= kBurst + kRate * elapsed.count() + 1e-6);
+      }
+      now += std::chrono::seconds(1);
+      RC_ASSERT(budget.try_take(now));
+    }));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(EtcdJsonTest);
+
+}  // namespace
+
+}  // namespace teaselrudder
