Join the entry host with its adapters in the daemon

Cause: the daemon's frame had no host. EntryHostRuntime owns the adapters and the host, HostEventRelay passes events on and arms the next wake-up after each. Hosts from the settings are probed at their addresses. A candidate for a term is now one life of a host: a member repeats a grant to the same candidate, so a restarted host that had forgotten its promotion could have promoted a second member in the same term. Ruled out: reusing the host id and remembering terms (hosts keep nothing).

--- a/main/daemon.cc
+++ b/main/daemon.cc
@@ -59,7 +59,8 @@
 }
 
 tl::expected<void, std::string> Daemon::start(const HostFactory& factory, std::ostream& out) {
-  auto host = factory({m_settings, m_loop, m_clock, m_counters, m_caller_server, m_operator_server});
+  auto host = factory({m_settings, m_loop, m_clock, m_counters, m_caller_server, m_operator_server,
+                       [this](bool healthy) { m_caller_server.set_healthy(healthy && !m_stopping); }});
   if (!host) {
     return tl::unexpected(host.error());
   }
--- /dev/null
+++ b/main/entry_host_runtime.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "drivers/event_loop/round_requesting_peer_events.h"
+#include "drivers/postgres/postgres_upstreams.h"
+#include "drivers/rpc/peer_rpc.h"
+#include "main/host_event_relay.h"
+#include "main/host_runtime.h"
+
+namespace teaselrudder {
+
+/// The entry host of the daemon with its adapters.
+class EntryHostRuntime : public HostRuntime, private EventLogPort {
+ public:
+  explicit EntryHostRuntime(const DaemonServices& services);
+  ~EntryHostRuntime() override;
+
+  /// Listens for other hosts, creates the host and begins to work. The error is one line.
+  tl::expected<void, std::string> start();
+
+  CallerEvents& caller_events() override { return m_relay; }
+  OperatorEvents& operator_events() override { return m_relay; }
+  std::uint16_t peer_port() const override { return m_self.peer_endpoint.port; }
+  std::string metrics() const override;
+  void begin_stop(TimePoint now, std::function<void()> stopped) override;
+
+ private:
+  void log_state_change(std::string_view event, const LogFields& fields) override;
+
+  tl::expected<HostCharts, std::string> load_charts() const;
+  HostSettings make_host_settings() const;
+  void create_store();
+  void after_event();
+  void on_wakeup();
+  void ask_static_hosts();
+  bool on_static_host_answered(PeerCallId call, const tl::expected<PeerResponse, PeerError>& outcome);
+
+  DaemonServices m_services;
+  HostRecord m_self;
+  HostEventRelay m_relay;
+  RoundRequestingPeerEvents m_peer_events;
+  PostgresUpstreams m_upstreams;
+  PeerRpc m_peers;
+  std::unique_ptr<StorePort> m_store;
+  HostListPort* m_host_list = nullptr;
+  std::unique_ptr<EntryHost> m_host;
+  std::function<void()> m_stopped;
+  TimePoint m_next_static_probe;
+  std::uint64_t m_last_static_call;
+  std::map<PeerCallId, Endpoint> m_static_calls;
+};
+
+}  // namespace teaselrudder
--- /dev/null
+++ b/main/host_event_relay.h
@@ -0,0 +1,91 @@
+#pragma once
+
+#include <functional>
+#include <utility>
+
+#include "core/ports/caller_port.h"
+#include "core/ports/host_list_port.h"
+#include "core/ports/operator_port.h"
+#include "core/ports/peer_port.h"
+#include "core/ports/store_port.h"
+#include "core/ports/upstream_port.h"
+#include "servers/host/entry_host.h"
+
+namespace teaselrudder {
+
+/// Passes the adapters' events on to the host and calls a function after each, which arms the next wake-up.
+///
+/// The adapters need a receiver before the host exists; events before set_host() are dropped.
+class HostEventRelay : public CallerEvents,
+                       public UpstreamEvents,
+                       public PeerEvents,
+                       public StoreEvents,
+                       public HostListEvents,
+                       public OperatorEvents {
+ public:
+  explicit HostEventRelay(std::function<void()> after_event) : m_after_event(std::move(after_event)) {}
+
+  /// Names the receiver, which must outlive the adapters' events.
+  void set_host(EntryHost* host) { m_host = host; }
+
+  /// Names a receiver of answers to calls that the host did not make; it returns false for a call it does not know.
+  void set_answer_filter(std::function<bool(PeerCallId, const tl::expected<PeerResponse, PeerError>&)> filter) {
+    m_answer_filter = std::move(filter);
+  }
+
+  void on_caller_request(CallerRequestId id, Request request, TimePoint now) override {
+    pass([&] { m_host->on_caller_request(id, std::move(request), now); });
+  }
+  void on_caller_gone(CallerRequestId id, TimePoint now) override {
+    pass([&] { m_host->on_caller_gone(id, now); });
+  }
+  void on_upstream_opened(ConnectionId connection, tl::expected<void, UpstreamError> outcome, TimePoint now) override {
+    pass([&] { m_host->on_upstream_opened(connection, std::move(outcome), now); });
+  }
+  void on_upstream_completed(ConnectionId connection, OperationId operation,
+                             tl::expected<UpstreamResult, UpstreamError> outcome, TimePoint now) override {
+    pass([&] { m_host->on_upstream_completed(connection, operation, std::move(outcome), now); });
+  }
+  void on_upstream_closed(ConnectionId connection, TimePoint now) override {
+    pass([&] { m_host->on_upstream_closed(connection, now); });
+  }
+  void on_peer_request(PeerCallId call, PeerRequest request, TimePoint now) override {
+    pass([&] { m_host->on_peer_request(call, std::move(request), now); });
+  }
+  void on_peer_request_cancelled(PeerCallId call, TimePoint now) override {
+    pass([&] { m_host->on_peer_request_cancelled(call, now); });
+  }
+  void on_peer_answered(PeerCallId call, tl::expected<PeerResponse, PeerError> outcome, TimePoint now) override {
+    if (m_answer_filter && m_answer_filter(call, outcome)) {
+      return;
+    }
+    pass([&] { m_host->on_peer_answered(call, std::move(outcome), now); });
+  }
+  void on_host_list(tl::expected<std::vector<HostRecord>, StoreError> outcome, TimePoint now) override {
+    pass([&] { m_host->on_host_list(std::move(outcome), now); });
+  }
+  void on_store_read(StoreCallId /*call*/, tl::expected<StoreValue, StoreError> /*outcome*/,
+                     TimePoint /*now*/) override {}
+  void on_store_swapped(StoreCallId /*call*/, tl::expected<CompareAndSwapResult, StoreError> /*outcome*/,
+                        TimePoint /*now*/) override {}
+  void on_store_changed(WatchId /*watch*/, const StoreValue& /*value*/, TimePoint /*now*/) override {}
+  void on_watch_failed(WatchId /*watch*/, const StoreError& /*error*/, TimePoint /*now*/) override {}
+  void on_operator_command(OperatorRequestId /*request*/, std::string /*command*/, bool /*check_only*/,
+                           TimePoint /*now*/) override {}
+
+ private:
+  template <typename Event>
+  void pass(const Event& event) {
+    if (m_host == nullptr) {
+      return;
+    }
+    event();
+    m_after_event();
+  }
+
+  EntryHost* m_host = nullptr;
+  std::function<void()> m_after_event;
+  std::function<bool(PeerCallId, const tl::expected<PeerResponse, PeerError>&)> m_answer_filter;
+};
+
+}  // namespace teaselrudder
--- a/main/host_runtime.h
+++ b/main/host_runtime.h
@@ -23,6 +23,8 @@
   Counters& counters;
   CallerPort& caller_port;
   OperatorPort& operator_port;
+  /// Sets what the health check for load balancers answers.
+  std::function<void(bool)> set_healthy;
 };
 
 /// The decisions of an entry host with their adapters to upstreams, the store and other hosts.
--- a/main/logging.h
+++ b/main/logging.h
@@ -2,13 +2,10 @@
 
 #include <string>
 #include <string_view>
-#include <utility>
-#include <vector>
 
-namespace teaselrudder {
+#include "core/ports/event_log_port.h"
 
-/// Fields of a log line in the order in which they are written.
-using LogFields = std::vector<std::pair<std::string_view, std::string>>;
+namespace teaselrudder {
 
 /// Sets up log lines on stderr. `level` is debug, info, warning or error; lines of a lower level are dropped.
 void setup_logging(std::string_view level);
--- a/servers/host/group_runtime.cc
+++ b/servers/host/group_runtime.cc
@@ -22,6 +22,13 @@
   return tl::unexpected(error);
 }
 
+// Members grant a term to one candidate and repeat the grant to it. A host that restarted has forgotten which member it
+// promoted in the term, so each life is a candidate of its own; the seed covers a clock that was set back.
+HostId candidate_of(const HostSettings& settings) {
+  return HostId(settings.self.host.value() + '.' + std::to_string(settings.self.incarnation.value()) + '.' +
+                std::to_string(settings.random_seed));
+}
+
 }  // namespace
 
 GroupRuntime::GroupRuntime(const GroupConfiguration& configuration, std::uint32_t prefix, HostContext& context,
@@ -30,7 +37,8 @@
       m_prefix(prefix),
       m_context(context),
       m_ids(prefix),
-      m_group(configuration, context.settings.self.host, context.settings.group_timings, context.charts.group, now) {
+      m_candidate(candidate_of(context.settings)),
+      m_group(configuration, m_candidate, context.settings.group_timings, context.charts.group, now) {
   for (const MemberConfiguration& member : m_configuration.members) {
     add_member(member);
   }
@@ -195,15 +203,14 @@
 }
 
 void GroupRuntime::carry_out(const GroupAction& action, TimePoint now) {
-  const HostId& self = m_context.settings.self.host;
   std::visit(
       Overloaded{
           [&](const SendProbe& probe) { submit_control(probe.member, probe, ReportStatus{}, probe.new_connection); },
           [&](const SendRaiseTerm& raise) {
-            submit_control(raise.member, raise, RaiseTerm{raise.term, self}, false);
+            submit_control(raise.member, raise, RaiseTerm{raise.term, m_candidate}, false);
           },
           [&](const SendPromote& promote) {
-            submit_control(promote.member, promote, Promote{promote.term, self}, false);
+            submit_control(promote.member, promote, Promote{promote.term, m_candidate}, false);
           },
           [&](const SendFollow& follow) {
             submit_control(follow.member, follow, Follow{follow.term, endpoint_of(follow.primary)}, false);
--- a/servers/host/group_runtime.h
+++ b/servers/host/group_runtime.h
@@ -96,6 +96,7 @@
   std::uint32_t m_prefix;
   HostContext& m_context;
   IdSource m_ids;
+  HostId m_candidate;
   DatabaseGroup m_group;
   GroupOwnership m_ownership;
   std::map<MemberId, MemberRuntime> m_members;
