--- a/misc/measure/group_harness.h
+++ b/misc/measure/group_harness.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -55,7 +56,9 @@
 
   virtual void on_promoted(std::size_t /*member*/, Term /*term*/, const std::vector<Record>& /*log*/) {}
   virtual void on_executed(std::uint64_t /*id*/, Term /*term*/) {}
-  virtual void on_confirmed(std::uint64_t /*id*/, const LogPoint& /*point*/, TimePoint /*now*/) {}
+  /// `holders` is the number of members whose log has the write at this moment.
+  virtual void on_confirmed(std::uint64_t /*id*/, const LogPoint& /*point*/, std::size_t /*holders*/,
+                            TimePoint /*now*/) {}
   /// A read that was accepted. `session_ids` are the confirmed writes of the session when the read began.
   virtual void on_read(const ReadRequirement& /*requirement*/, const std::vector<std::uint64_t>& /*session_ids*/,
                        const std::vector<std::uint64_t>& /*visible*/, bool /*primary*/, TimePoint /*started*/,
@@ -192,7 +195,7 @@
           Session& state = m_sessions[session];
           state.point = std::max(state.point, *point);
           state.ids.push_back(id);
-          m_observer.on_confirmed(id, *point, m_now);
+          m_observer.on_confirmed(id, *point, count_holders(id), m_now);
         });
       });
     });
@@ -254,6 +257,14 @@
     return m_group.members.empty() ? make_group(m_nodes.size()) : m_group;
   }
 
+  std::size_t count_holders(std::uint64_t id) const {
+    return static_cast<std::size_t>(std::count_if(m_nodes.begin(), m_nodes.end(), [id](const Node& node) {
+      const std::vector<Record>& log = node.member.log();
+      // Confirmed writes are among the newest records.
+      return std::any_of(log.rbegin(), log.rend(), [id](const Record& record) { return record.id == id; });
+    }));
+  }
+
   bool is_cut(std::size_t from, std::size_t to) const { return m_cuts.contains({from, to}); }
   bool is_paused(std::size_t owner) const { return m_now < m_nodes[owner].paused_until; }
   double random() { return std::uniform_real_distribution<double>(0, 1)(m_random); }
--- a/tests/servers/group_checker.h
+++ b/tests/servers/group_checker.h
@@ -14,6 +14,8 @@
 /// Keeps every promotion, write and read of a run and states which rules they break, by plain comparison of records.
 class GroupChecker : public model::HarnessObserver {
  public:
+  explicit GroupChecker(std::size_t members) : m_members(members) {}
+
   void on_promoted(std::size_t member, Term term, const std::vector<model::Record>& log) override {
     const auto [first, is_new] = m_leaders.emplace(term, member);
     if (!is_new && first->second != member) {
@@ -33,7 +35,10 @@
     }
   }
 
-  void on_confirmed(std::uint64_t id, const LogPoint& point, TimePoint now) override {
+  void on_confirmed(std::uint64_t id, const LogPoint& point, std::size_t holders, TimePoint now) override {
+    if (2 * holders <= m_members) {
+      m_errors.emplace_back("a write was confirmed that no majority holds");
+    }
     m_confirmed.push_back({id, point.term, now});
     if (m_executed_in_superseded.contains(id)) {
       m_errors.emplace_back("a write of a superseded term was confirmed");
@@ -101,6 +106,7 @@
     TimePoint confirmed_at;
   };
 
+  std::size_t m_members;
   std::map<Term, std::size_t> m_leaders;
   std::vector<Promotion> m_promotions;
   std::vector<Confirmed> m_confirmed;
--- a/tests/servers/group_failover_test.cc
+++ b/tests/servers/group_failover_test.cc
@@ -13,7 +13,9 @@
 
 // A group of three members and owners with a primary and steady writes of one session per owner.
 struct Fixture {
-  explicit Fixture(const HarnessOptions& options = {}) : harness(options, checker) { run(seconds(2)); }
+  explicit Fixture(const HarnessOptions& options = {}) : checker(options.domains), harness(options, checker) {
+    run(seconds(2));
+  }
 
   // Every owner sends a write and reads every 20 ms.
   void run(Duration duration) {
--- a/tests/servers/group_random_test.cc
+++ b/tests/servers/group_random_test.cc
@@ -19,7 +19,8 @@
 constexpr std::uint8_t kFaultKinds = 10;
 
 struct RandomRun {
-  RandomRun(std::size_t domains, std::uint64_t seed) : random(seed), harness(options(domains, seed), checker) {}
+  RandomRun(std::size_t domains, std::uint64_t seed)
+      : random(seed), checker(domains), harness(options(domains, seed), checker) {}
 
   static model::HarnessOptions options(std::size_t domains, std::uint64_t seed) {
     model::HarnessOptions options;
