Test the scheduling decisions against naive models

Cause: the policies had no tests. Found: two items that reach the ageing limit at the same instant were started in order of arrival instead of the shorter first; the place in the order now compares durations before arrival. A check of the model was too strict: long work may be refused beside a free slot when other long work is running; it now asks for this only of short work or an idle member.

--- a/servers/scheduling/member_queue.cc
+++ b/servers/scheduling/member_queue.cc
@@ -149,7 +149,7 @@
 Duration MemberQueue::expected_wait(Urgency urgency, TimePoint now) const {
   QueuedWork work;
   work.urgency = urgency;
-  const Place last{TimePoint::max(), m_next_sequence, WorkId(), Duration::zero()};
+  const Place last{TimePoint::max(), Duration::zero(), m_next_sequence, WorkId()};
   return predict_wait(work, last, now);
 }
 
@@ -166,7 +166,7 @@
 
 MemberQueue::Place MemberQueue::place_of(const QueuedWork& work, TimePoint now) const {
   const Duration handicap = std::min(bounded(work.expected) * kAgeingFactor, m_limits.ageing_interval);
-  return {now + handicap, m_next_sequence, work.id, bounded(work.expected)};
+  return {now + handicap, bounded(work.expected), m_next_sequence, work.id};
 }
 
 /// A free slot admits whatever the estimate says; otherwise a shape whose estimate is too high would never run and
@@ -321,7 +321,7 @@
 Duration MemberQueue::waiting_work(Urgency urgency, bool with_long, bool with_short) const {
   QueuedWork work;
   work.urgency = urgency;
-  return work_ahead(work, Place{TimePoint::max(), m_next_sequence, WorkId(), Duration::zero()}, with_long, with_short);
+  return work_ahead(work, Place{TimePoint::max(), Duration::zero(), m_next_sequence, WorkId()}, with_long, with_short);
 }
 
 /// Returns the queued work of the other urgencies that their weights put ahead of `own` work of `urgency`.
--- a/servers/scheduling/member_queue.h
+++ b/servers/scheduling/member_queue.h
@@ -100,12 +100,12 @@
  private:
   static constexpr std::size_t kUrgencyCount = 3;
 
-  /// Place in the order within one lane: ascending rank, then order of arrival.
+  /// Place in the order within one lane: ascending rank, then the shorter one, then order of arrival.
   struct Place {
     TimePoint rank;
+    Duration expected{0};
     std::uint64_t sequence = 0;
     WorkId id;
-    Duration expected{0};
 
     friend auto operator<=>(const Place&, const Place&) = default;
   };
--- /dev/null
+++ b/tests/servers/scheduling/member_queue_test.cc
@@ -0,0 +1,401 @@
+#include "servers/scheduling/member_queue.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <array>
+#include <map>
+#include <vector>
+
+namespace teaselrudder {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr std::array<Urgency, 3> kUrgencies = {Urgency::kUrgent, Urgency::kNormal, Urgency::kBackground};
+
+QueuedWork work_of(std::uint64_t id, Urgency urgency, Duration expected, TimePoint deadline) {
+  return {WorkId(id), urgency, expected, false, false, deadline};
+}
+
+/// Applies random operations to a queue and checks each result against a plain list of all work.
+class QueueModel {
+ public:
+  QueueModel(std::uint32_t slots, bool far_deadlines)
+      : m_slots(slots), m_far_deadlines(far_deadlines), m_queue(QueueLimits{slots, kMaxQueue, kAgeing}) {}
+
+  void step() {
+    switch (*rc::gen::inRange(0, 8)) {
+      case 0:
+      case 1:
+      case 2:
+        return enqueue();
+      case 3:
+        return start_all();
+      case 4:
+        return finish_one();
+      case 5:
+        return remove_one();
+      case 6:
+        return set_slots();
+      default:
+        m_now += milliseconds(*rc::gen::inRange(0, 60));
+        return take_expired();
+    }
+  }
+
+  /// Lets everything come to its end; a lost item would stay in the list.
+  void drain() {
+    m_slots = std::max(m_slots, 1U);
+    m_queue.set_slots(m_slots);
+    for (int round = 0; round < 2000 && !(m_waiting.empty() && m_running.empty()); ++round) {
+      m_now += milliseconds(10);
+      take_expired();
+      start_all();
+      finish_one();
+    }
+    RC_ASSERT(m_waiting.empty());
+    RC_ASSERT(m_queue.queued() == 0U);
+    RC_ASSERT(m_queue.running() == 0U);
+  }
+
+ private:
+  struct Waiting {
+    QueuedWork work;
+    TimePoint since;
+  };
+
+  static constexpr std::size_t kMaxQueue = 16;
+  static constexpr Duration kAgeing = milliseconds(200);
+
+  void enqueue() {
+    QueuedWork work;
+    work.id = WorkId(m_next_id++);
+    work.urgency = *rc::gen::elementOf(kUrgencies);
+    work.expected = milliseconds(*rc::gen::inRange(0, 50));
+    work.is_long = *rc::gen::inRange(0, 4) == 0;
+    work.in_transaction = *rc::gen::inRange(0, 4) == 0;
+    work.deadline = m_now + milliseconds(m_far_deadlines ? 600000 : *rc::gen::inRange(-5, 400));
+    const bool idle = m_waiting.empty() && m_running.size() < m_slots;
+    const bool full = m_waiting.size() >= kMaxQueue;
+    const auto result = m_queue.enqueue(work, m_now);
+    m_may_displace = m_may_displace || (full && work.urgency == Urgency::kUrgent);
+    if (result) {
+      RC_ASSERT(work.deadline > m_now);
+      m_waiting.emplace(work.id, Waiting{work, m_now});
+    } else {
+      // A free slot must not be refused whatever the estimates say. Other running work may keep a slot from long work.
+      const bool slot_is_open = idle && (!work.is_long || m_running.empty());
+      RC_ASSERT(!slot_is_open || work.deadline <= m_now);
+      RC_ASSERT(result.error().retry_after > Duration::zero());
+    }
+    take_expired();
+    RC_ASSERT(m_waiting.size() <= kMaxQueue);
+  }
+
+  std::size_t running_long() const {
+    return static_cast<std::size_t>(
+        std::count_if(m_running.begin(), m_running.end(), [](const auto& entry) { return entry.second; }));
+  }
+
+  void start_all() {
+    take_expired();
+    while (const std::optional<WorkId> id = m_queue.start_next(m_now)) {
+      const auto found = m_waiting.find(*id);
+      RC_ASSERT(found != m_waiting.end());
+      const Waiting started = found->second;
+      m_waiting.erase(found);
+      RC_ASSERT(started.work.deadline > m_now);
+      RC_ASSERT(m_running.size() < m_slots);
+      RC_ASSERT(!started.work.is_long || running_long() < std::max(1U, m_slots - 1));
+      if (m_far_deadlines) {
+        check_order(started);
+      }
+      m_running.emplace(*id, started.work.is_long);
+    }
+    // Only long work may wait beside a free slot.
+    const bool all_long =
+        std::all_of(m_waiting.begin(), m_waiting.end(), [](const auto& entry) { return entry.second.work.is_long; });
+    RC_ASSERT(m_running.size() >= m_slots || all_long);
+    RC_ASSERT(m_waiting.empty() || !m_running.empty() || m_slots == 0);
+  }
+
+  /// Work of the same kind that is both older and shorter, or older by the ageing interval, must go first.
+  void check_order(const Waiting& started) const {
+    for (const auto& [id, other] : m_waiting) {
+      const bool same_kind = other.work.urgency == started.work.urgency &&
+                             other.work.in_transaction == started.work.in_transaction &&
+                             other.work.is_long == started.work.is_long;
+      const bool dominates = other.since <= started.since && other.work.expected < started.work.expected;
+      RC_ASSERT(!same_kind || !dominates);
+      RC_ASSERT(!same_kind || other.since + kAgeing >= started.since);
+    }
+  }
+
+  void finish_one() {
+    if (m_running.empty()) {
+      return;
+    }
+    const auto chosen = std::next(m_running.begin(), *rc::gen::inRange<std::ptrdiff_t>(0, std::ssize(m_running)));
+    m_queue.finish(chosen->first, m_now);
+    m_running.erase(chosen);
+    RC_ASSERT(m_queue.running() == m_running.size());
+  }
+
+  void remove_one() {
+    const WorkId id(*rc::gen::inRange<std::uint64_t>(0, m_next_id + 1));
+    RC_ASSERT(m_queue.remove(id) == (m_waiting.erase(id) > 0));
+  }
+
+  void set_slots() {
+    m_slots = *rc::gen::inRange(0U, 5U);
+    m_queue.set_slots(m_slots);
+  }
+
+  void take_expired() {
+    for (const WorkId id : m_queue.take_expired(m_now)) {
+      const auto found = m_waiting.find(id);
+      RC_ASSERT(found != m_waiting.end());
+      const QueuedWork& work = found->second.work;
+      RC_ASSERT(work.deadline <= m_now || (m_may_displace && work.urgency == Urgency::kBackground));
+      m_waiting.erase(found);
+    }
+    m_may_displace = false;
+    RC_ASSERT(std::none_of(m_waiting.begin(), m_waiting.end(),
+                           [this](const auto& entry) { return entry.second.work.deadline <= m_now; }));
+    RC_ASSERT(m_queue.queued() == m_waiting.size());
+  }
+
+  std::uint32_t m_slots;
+  bool m_far_deadlines;
+  MemberQueue m_queue;
+  TimePoint m_now;
+  std::uint64_t m_next_id = 1;
+  std::map<WorkId, Waiting> m_waiting;
+  std::map<WorkId, bool> m_running;
+  bool m_may_displace = false;
+};
+
+/// What a queue of 3 slots did with a steady stream of work.
+struct StreamResult {
+  std::uint64_t admitted = 0;
+  std::uint64_t expired = 0;
+  std::uint64_t in_time = 0;
+  Duration busy{0};
+  std::array<Duration, 3> busy_by_urgency{};
+};
+
+/// Offers `per_millisecond` items of each urgency for 20 s. Work takes 1 to 9 ms; its estimate is wrong by `factor`.
+StreamResult run_stream(int per_millisecond, double factor, Duration deadline) {
+  MemberQueue queue(QueueLimits{});
+  StreamResult result;
+  std::map<WorkId, QueuedWork> known;
+  std::multimap<TimePoint, WorkId> ends;
+  std::uint64_t next = 1;
+  for (TimePoint now; now < TimePoint(seconds(20)); now += milliseconds(1)) {
+    while (!ends.empty() && ends.begin()->first <= now) {
+      result.in_time += ends.begin()->first <= known.at(ends.begin()->second).deadline ? 1 : 0;
+      queue.finish(ends.begin()->second, now);
+      ends.erase(ends.begin());
+    }
+    for (int count = 0; count < per_millisecond * 3; ++count) {
+      const Duration actual = milliseconds(1 + next % 9);
+      const auto expected = Duration(static_cast<std::int64_t>(static_cast<double>(actual.count()) * factor));
+      const QueuedWork work = work_of(next, kUrgencies[static_cast<std::size_t>(count % 3)], expected, now + deadline);
+      ++next;
+      if (queue.enqueue(work, now)) {
+        ++result.admitted;
+        known.emplace(work.id, work);
+      }
+    }
+    while (const std::optional<WorkId> id = queue.start_next(now)) {
+      const Duration actual = milliseconds(1 + id->value() % 9);
+      ends.emplace(now + actual, *id);
+      result.busy += actual;
+      result.busy_by_urgency[static_cast<std::size_t>(known.at(*id).urgency)] += actual;
+    }
+    result.expired += queue.take_expired(now).size();
+  }
+  return result;
+}
+
+class MemberQueueTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(MemberQueueTest);
+  CPPUNIT_TEST(loses_and_repeats_nothing);
+  CPPUNIT_TEST(orders_by_duration_and_age);
+  CPPUNIT_TEST(shares_slot_time_by_weight);
+  CPPUNIT_TEST(admits_what_can_be_served);
+  CPPUNIT_TEST(absorbs_a_burst);
+  CPPUNIT_TEST(returns_displaced_background_work);
+  CPPUNIT_TEST(keeps_a_slot_free_of_long_work);
+  CPPUNIT_TEST(runs_long_work_beside_a_hanging_slot);
+  CPPUNIT_TEST(prefers_transactions_without_starving_new_work);
+  CPPUNIT_TEST(lets_late_work_fill_idle_slots_only);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Guards against work that runs twice, gets lost, starts past its deadline or exceeds the slots.
+  void loses_and_repeats_nothing() { check_model(false); }
+
+  // Guards against starvation within an urgency and against long work going ahead of older, shorter work.
+  void orders_by_duration_and_age() { check_model(true); }
+
+  // Guards against an urgency that gets more slot time than its weight, or none.
+  void shares_slot_time_by_weight() {
+    const StreamResult result = run_stream(2, 1, seconds(100));
+    const auto total = static_cast<double>(result.busy.count());
+    const std::array<double, 3> weights = {16, 4, 1};
+    for (std::size_t index = 0; index < weights.size(); ++index) {
+      const double share = static_cast<double>(result.busy_by_urgency[index].count()) / total;
+      CPPUNIT_ASSERT_DOUBLES_EQUAL(weights[index] / 21, share, 0.01);
+    }
+  }
+
+  // Guards against goodput that collapses under overload because work starts too late to be of use, also when all
+  // estimates are wrong by a factor of 10.
+  void admits_what_can_be_served() {
+    for (const double factor : {0.1, 1.0, 10.0}) {
+      const StreamResult result = run_stream(2, factor, milliseconds(400));
+      CPPUNIT_ASSERT(result.busy > seconds(57));
+      CPPUNIT_ASSERT(result.expired * 20 < result.admitted);
+      CPPUNIT_ASSERT((result.in_time + result.expired) * 100 > result.admitted * 98);
+    }
+  }
+
+  // Guards against refusing a burst that would have been served before its deadline.
+  void absorbs_a_burst() {
+    MemberQueue queue(QueueLimits{});
+    const TimePoint now;
+    for (std::uint64_t id = 1; id <= 300; ++id) {
+      CPPUNIT_ASSERT(queue.enqueue(work_of(id, Urgency::kNormal, milliseconds(5), now + seconds(1)), now));
+    }
+    // 300 items of 5 ms on 3 slots wait half a second.
+    const auto refused = queue.enqueue(work_of(301, Urgency::kNormal, milliseconds(5), now + milliseconds(400)), now);
+    CPPUNIT_ASSERT(refused.error().reason == RefusalReason::kQueueDeadline);
+    CPPUNIT_ASSERT(queue.expected_wait(Urgency::kNormal, now) == milliseconds(500));
+  }
+
+  // Guards against a displaced caller that never hears of it, and against a full queue that keeps urgent work out.
+  void returns_displaced_background_work() {
+    MemberQueue queue(QueueLimits{1, 16, seconds(1)});
+    const TimePoint now;
+    const TimePoint deadline = now + seconds(60);
+    std::uint64_t id = 1;
+    while (queue.enqueue(work_of(id, Urgency::kBackground, milliseconds(1), deadline), now)) {
+      ++id;
+    }
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{15}, id);
+    CPPUNIT_ASSERT(!queue.enqueue(work_of(50, Urgency::kNormal, milliseconds(1), deadline), now));
+    for (std::uint64_t urgent = 100; urgent < 103; ++urgent) {
+      CPPUNIT_ASSERT(queue.enqueue(work_of(urgent, Urgency::kUrgent, milliseconds(1), deadline), now));
+    }
+    CPPUNIT_ASSERT(queue.take_expired(now) == std::vector<WorkId>{WorkId(14)});
+    CPPUNIT_ASSERT(queue.take_expired(now).empty());
+  }
+
+  // Guards against short work behind long work: on all slots, or on too few for the short work of late.
+  void keeps_a_slot_free_of_long_work() {
+    MemberQueue queue(QueueLimits{});
+    TimePoint now;
+    std::uint64_t id = 1;
+    for (; now < TimePoint(seconds(2)); now += milliseconds(5)) {
+      // Two slots are busy with short work all the time.
+      for (const std::uint64_t next : {id, id + 1}) {
+        queue.finish(WorkId(next - 2), now);
+        CPPUNIT_ASSERT(queue.enqueue(work_of(next, Urgency::kNormal, milliseconds(5), now + seconds(1)), now));
+        CPPUNIT_ASSERT(queue.start_next(now) == WorkId(next));
+      }
+      id += 2;
+    }
+    CPPUNIT_ASSERT_EQUAL(1, start_long(queue, now, 2));
+    queue.finish(WorkId(id - 1), now);
+    queue.finish(WorkId(id - 2), now);
+    CPPUNIT_ASSERT(!queue.start_next(now));
+    // Once there has been little short work, the second long item starts, but never a third.
+    now += seconds(3);
+    CPPUNIT_ASSERT_EQUAL(1, start_long(queue, now, 0));
+    CPPUNIT_ASSERT_EQUAL(0, start_long(queue, now, 1));
+  }
+
+  // Guards against one hanging statement keeping all long work out, and against two filling the slots but one.
+  void runs_long_work_beside_a_hanging_slot() {
+    MemberQueue queue(QueueLimits{});
+    TimePoint now;
+    CPPUNIT_ASSERT(queue.enqueue(work_of(1, Urgency::kNormal, milliseconds(5), now + seconds(1)), now));
+    CPPUNIT_ASSERT(queue.start_next(now) == WorkId(1));
+    now += seconds(60);
+    CPPUNIT_ASSERT(queue.expected_wait(Urgency::kNormal, now) == Duration::zero());
+    CPPUNIT_ASSERT_EQUAL(1, start_long(queue, now, 2));
+    CPPUNIT_ASSERT(queue.enqueue(work_of(2, Urgency::kNormal, milliseconds(5), now + seconds(1)), now));
+    CPPUNIT_ASSERT(queue.start_next(now) == WorkId(2));
+  }
+
+  // Guards against open transactions that hold connections while new work goes ahead, and against the reverse.
+  void prefers_transactions_without_starving_new_work() {
+    MemberQueue queue(QueueLimits{1, 512, seconds(1)});
+    const TimePoint now;
+    CPPUNIT_ASSERT(queue.enqueue(work_of(1, Urgency::kNormal, milliseconds(1), now + seconds(60)), now));
+    for (std::uint64_t id = 2; id < 40; ++id) {
+      QueuedWork work = work_of(id, Urgency::kNormal, milliseconds(9), now + seconds(60));
+      work.in_transaction = true;
+      CPPUNIT_ASSERT(queue.enqueue(work, now));
+    }
+    for (int started = 0; started < 16; ++started) {
+      const WorkId id = queue.start_next(now).value();
+      CPPUNIT_ASSERT(id != WorkId(1));
+      queue.finish(id, now);
+    }
+    CPPUNIT_ASSERT(queue.start_next(now) == WorkId(1));
+  }
+
+  // Guards against slots spent on work that ends after its deadline, and against an estimate that is too high keeping
+  // a statement out for good.
+  void lets_late_work_fill_idle_slots_only() {
+    MemberQueue queue(QueueLimits{1, 512, seconds(1)});
+    const TimePoint now;
+    CPPUNIT_ASSERT(queue.enqueue(work_of(1, Urgency::kUrgent, seconds(5), now + seconds(1)), now));
+    CPPUNIT_ASSERT(queue.enqueue(work_of(2, Urgency::kBackground, milliseconds(1), now + seconds(60)), now));
+    CPPUNIT_ASSERT(queue.start_next(now) == WorkId(2));
+    queue.finish(WorkId(2), now);
+    CPPUNIT_ASSERT(queue.start_next(now) == WorkId(1));
+  }
+
+ private:
+  static void check_model(bool far_deadlines) {
+    const bool holds = rc::check([far_deadlines] {
+      QueueModel model(*rc::gen::inRange(1U, 5U), far_deadlines);
+      for (int step = 0; step < 300; ++step) {
+        model.step();
+      }
+      if (!far_deadlines) {
+        model.drain();
+      }
+    });
+    CPPUNIT_ASSERT(holds);
+  }
+
+  /// Queues `count` long items and returns how many long items start.
+  static int start_long(MemberQueue& queue, TimePoint now, int count) {
+    for (int index = 0; index < count; ++index) {
+      QueuedWork work = work_of(m_next_long++, Urgency::kNormal, milliseconds(250), now + seconds(60));
+      work.is_long = true;
+      CPPUNIT_ASSERT(queue.enqueue(work, now));
+    }
+    int started = 0;
+    while (queue.start_next(now)) {
+      ++started;
+    }
+    return started;
+  }
+
+  static inline std::uint64_t m_next_long = 1000000;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(MemberQueueTest);
+
+}  // namespace
+
+}  // namespace teaselrudder
