Test the order by duration, overrun work and idle urgencies

Cause: faults planted in these three rules had survived all tests. Ruled out: extending the random model by these rules, which would repeat the implementation.

--- a/tests/servers/scheduling/member_queue_test.cc
+++ b/tests/servers/scheduling/member_queue_test.cc
@@ -229,6 +229,9 @@
   CPPUNIT_TEST(shares_slot_time_by_weight);
   CPPUNIT_TEST(admits_what_can_be_served);
   CPPUNIT_TEST(absorbs_a_burst);
+  CPPUNIT_TEST(starts_newer_shorter_work_first);
+  CPPUNIT_TEST(counts_overrun_work_as_long);
+  CPPUNIT_TEST(saves_up_nothing_while_idle);
   CPPUNIT_TEST(returns_displaced_background_work);
   CPPUNIT_TEST(keeps_a_slot_free_of_long_work);
   CPPUNIT_TEST(runs_long_work_beside_a_hanging_slot);
@@ -278,6 +281,50 @@
     CPPUNIT_ASSERT(queue.expected_wait(Urgency::kNormal, now) == milliseconds(500));
   }
 
+  // Guards against short work that waits for older work that takes much longer.
+  void starts_newer_shorter_work_first() {
+    MemberQueue queue(QueueLimits{1, 512, seconds(1)});
+    const TimePoint now;
+    CPPUNIT_ASSERT(queue.enqueue(work_of(1, Urgency::kNormal, milliseconds(40), now + seconds(60)), now));
+    const TimePoint later = now + milliseconds(100);
+    CPPUNIT_ASSERT(queue.enqueue(work_of(2, Urgency::kNormal, milliseconds(1), now + seconds(60)), later));
+    CPPUNIT_ASSERT(queue.start_next(later) == WorkId(2));
+  }
+
+  // Guards against work that hangs on all slots but one and long work on the last.
+  void counts_overrun_work_as_long() {
+    MemberQueue queue(QueueLimits{});
+    TimePoint now;
+    for (std::uint64_t id = 1; id <= 2; ++id) {
+      CPPUNIT_ASSERT(queue.enqueue(work_of(id, Urgency::kNormal, milliseconds(5), now + seconds(1)), now));
+      CPPUNIT_ASSERT(queue.start_next(now) == WorkId(id));
+    }
+    now += seconds(10);
+    CPPUNIT_ASSERT_EQUAL(0, start_long(queue, now, 1));
+  }
+
+  // Guards against an urgency that was idle for long and then keeps the others out.
+  void saves_up_nothing_while_idle() {
+    MemberQueue queue(QueueLimits{1, 512, seconds(1)});
+    TimePoint now;
+    for (std::uint64_t id = 1; id <= 200; ++id, now += milliseconds(5)) {
+      CPPUNIT_ASSERT(queue.enqueue(work_of(id, Urgency::kUrgent, milliseconds(5), now + seconds(60)), now));
+      CPPUNIT_ASSERT(queue.start_next(now) == WorkId(id));
+      queue.finish(WorkId(id), now + milliseconds(5));
+    }
+    for (std::uint64_t id = 1000; id < 1010; ++id) {
+      CPPUNIT_ASSERT(queue.enqueue(work_of(id, Urgency::kBackground, milliseconds(5), now + seconds(60)), now));
+      CPPUNIT_ASSERT(queue.enqueue(work_of(id + 100, Urgency::kUrgent, milliseconds(5), now + seconds(60)), now));
+    }
+    int background = 0;
+    for (int started = 0; started < 10; ++started, now += milliseconds(5)) {
+      const WorkId id = queue.start_next(now).value();
+      background += id < WorkId(1100) ? 1 : 0;
+      queue.finish(id, now + milliseconds(5));
+    }
+    CPPUNIT_ASSERT(background <= 1);
+  }
+
   // Guards against a displaced caller that never hears of it, and against a full queue that keeps urgent work out.
   void returns_displaced_background_work() {
     MemberQueue queue(QueueLimits{1, 16, seconds(1)});
