Drop a term without records when a history is truncated

Cause: truncate(p) kept a term that begins exactly at p, so a member that diverged there claimed a term of which it holds no record, and could be taken to satisfy positions of that term. Ruled out: copying the primary's history instead, as the in-memory model does; the member stand-in truncates first. Figures: truncation_drops_a_term_without_records failed before ('1:0,2:30' for '1:0') and passes after. Conclusion: a history names only terms whose records the log holds.

--- a/core/term_history.cc
+++ b/core/term_history.cc
@@ -79,7 +79,7 @@
 }
 
 void TermHistory::truncate(LogPosition position) {
-  while (!m_entries.empty() && m_entries.back().position > position) {
+  while (!m_entries.empty() && m_entries.back().position >= position) {
     m_entries.pop_back();
   }
 }
--- a/core/term_history.h
+++ b/core/term_history.h
@@ -39,7 +39,7 @@
   /// Tells whether a log with this history contains everything up to `point`, given that it reaches `reached`.
   bool contains(const LogPoint& point, const LogPoint& reached) const;
 
-  /// Drops the terms that begin after `position`, as a member does when it truncates its log.
+  /// Drops the terms that have no record up to `position`, as a member does when it truncates its log there.
   void truncate(LogPosition position);
 
   /// Returns the last position up to which a log with this history and its end at `own_end`, and another log with
--- a/tests/core/term_history_test.cc
+++ b/tests/core/term_history_test.cc
@@ -16,6 +16,7 @@
   CPPUNIT_TEST(contains_points_of_shared_terms_only);
   CPPUNIT_TEST(rejects_points_of_terms_it_never_had);
   CPPUNIT_TEST(finds_common_end_after_divergence);
+  CPPUNIT_TEST(truncation_drops_a_term_without_records);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -48,6 +49,13 @@
     CPPUNIT_ASSERT(old_primary.common_end(new_primary, LogPosition(80), LogPosition(90)) == LogPosition(30));
     CPPUNIT_ASSERT(parse("1:0").common_end(new_primary, LogPosition(80), LogPosition(90)) == LogPosition(50));
   }
+
+  // Guards against a returned primary that claims a term of which it kept no record.
+  void truncation_drops_a_term_without_records() {
+    TermHistory history = parse("1:0,2:30");
+    history.truncate(LogPosition(30));
+    CPPUNIT_ASSERT_EQUAL(std::string("1:0"), history.to_string());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TermHistoryTest);
