Bound the product of the queue's two corrections

Cause: the correction of durations and that of waits learn from the same slow executions. After a slowdown from 1 ms to 100 ms their product reached 256, and with five items queued the queue expected a wait of 25.7 s and refused reads and writes with a 10 s deadline as queue_deadline. Ruled out: leaked slots (none were held), the estimator (its median was right at 100.3 ms). Conclusion: together the corrections stay within a factor of 16.

--- a/servers/scheduling/member_queue.cc
+++ b/servers/scheduling/member_queue.cc
@@ -354,7 +354,13 @@
     // Long work ahead cannot take the slots that are kept free of it.
     wait = std::min(wait, start_of(false, true));
   }
-  return std::min(class_of(work.urgency).wait_correction.apply(wait), kUnboundedWait);
+  // Both corrections learn from the same slow executions. Their product would count a sudden slowdown twice and refuse
+  // work for which the queue has room, so together they stay within the bound of one.
+  const double duration_factor = std::max(1.0, m_duration_correction.value());
+  const double wait_factor =
+      std::min(class_of(work.urgency).wait_correction.value(), kHighestCorrection / duration_factor);
+  const double corrected = static_cast<double>(wait.count()) * std::max(1.0, wait_factor);
+  return std::min(Duration(std::llround(corrected)), kUnboundedWait);
 }
 
 Duration MemberQueue::effective_pass(const UrgencyClass& urgency_class) const {
--- a/servers/scheduling/member_queue.h
+++ b/servers/scheduling/member_queue.h
@@ -99,6 +99,8 @@
 
  private:
   static constexpr std::size_t kUrgencyCount = 3;
+  /// Bound on the factor by which estimates are corrected.
+  static constexpr double kHighestCorrection = 16.0;
 
   /// Place in the order within one lane: ascending rank, then the shorter one, then order of arrival.
   struct Place {
@@ -154,7 +156,7 @@
     /// Transaction statements started in a row while new work waited.
     std::uint32_t transaction_run = 0;
     /// Corrects the predicted wait, mainly for more urgent work that arrives later.
-    MovingRatio wait_correction{1.0, 16.0};
+    MovingRatio wait_correction{1.0, kHighestCorrection};
     /// Whether short and long work of this urgency comes faster than it is served.
     StandingQueue standing_short;
     StandingQueue standing_long;
@@ -223,7 +225,7 @@
   double m_short_load = 0;
   TimePoint m_short_load_at;
   /// Corrects expected durations that are wrong on the whole.
-  MovingRatio m_duration_correction{1.0 / 16, 16.0};
+  MovingRatio m_duration_correction{1.0 / kHighestCorrection, kHighestCorrection};
 };
 
 }  // namespace teaselrudder
