Let transaction handles name their service

Cause: over HTTP a step of a transaction names only its handle, but the defaults of the service (deadline, urgency) and the check of the session token need the service, so every step was refused as unknown_service. Ruled out: a service in the path of each step, which callers would have to repeat. Conclusion: TransactionHandleCodec signs host, incarnation, number and service; any host can read it.

--- a/core/session/session_token.h
+++ b/core/session/session_token.h
@@ -31,6 +31,9 @@
   tl::expected<SessionPosition, SessionTokenError> decode(std::string_view token, const ServiceName& service,
                                                           const GroupId& group) const;
 
+  /// Returns the key, under which transaction handles are signed as well.
+  const std::string& key() const { return m_key; }
+
  private:
   std::string m_key;
 };
--- a/servers/host/request_resolver.cc
+++ b/servers/host/request_resolver.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "core/session/transaction_handle.h"
+
 namespace teaselrudder {
 
 namespace {
@@ -92,10 +94,19 @@
 
 tl::expected<RequestEnvelope, Refusal> resolve_request(const Request& request, const Configuration& configuration,
                                                        const SessionTokenCodec& tokens, const RequestId& generated_id) {
-  const auto found = configuration.services.find(request.service);
+  const bool continues = request.step != TransactionStep::kNone && request.step != TransactionStep::kBegin;
+  ServiceName name = request.service;
+  if (continues) {
+    // A step names its transaction only; the handle says which service's defaults apply.
+    const auto address = TransactionHandleCodec(tokens.key()).decode(request.transaction);
+    if (!address.has_value()) {
+      return tl::unexpected(refuse(RefusalReason::kUnknownTransaction, "the transaction handle is malformed"));
+    }
+    name = address->service;
+  }
+  const auto found = configuration.services.find(name);
   if (found == configuration.services.end()) {
-    return tl::unexpected(
-        refuse(RefusalReason::kUnknownService, "no service '" + request.service.value() + "' is configured"));
+    return tl::unexpected(refuse(RefusalReason::kUnknownService, "no service '" + name.value() + "' is configured"));
   }
   if (const std::optional<std::string> error = find_parameter_error(request)) {
     return tl::unexpected(refuse(RefusalReason::kBadRequest, *error));
--- a/servers/host/transaction_steps.cc
+++ b/servers/host/transaction_steps.cc
@@ -172,7 +172,7 @@
   if (!execution.transaction.has_value()) {
     return;
   }
-  if (OpenTransaction* transaction = find(*execution.transaction)) {
+  if (OpenTransaction* transaction = m_transactions.find(*execution.transaction)) {
     transaction->busy = false;
     transaction->idle_deadline = now + m_context.settings.transaction_idle_timeout;
   }
@@ -185,12 +185,8 @@
   }
 }
 
-OpenTransaction* TransactionSteps::find(std::uint64_t number) {
-  return m_transactions.find({m_context.settings.self.host, m_context.settings.self.incarnation, number});
-}
-
 void TransactionSteps::end_transaction(std::uint64_t number, bool in_doubt, TimePoint now) {
-  const OpenTransaction* const transaction = find(number);
+  const OpenTransaction* const transaction = m_transactions.find(number);
   if (transaction == nullptr) {
     return;
   }
--- a/servers/host/transaction_steps.h
+++ b/servers/host/transaction_steps.h
@@ -37,7 +37,6 @@
   std::size_t open() const { return m_transactions.size(); }
 
  private:
-  OpenTransaction* find(std::uint64_t number);
   void on_step_succeeded(Execution& execution, const StatementsResult& result, const WorkEnded& ended, TimePoint now);
   void end_transaction(std::uint64_t number, bool in_doubt, TimePoint now);
   void close_connection(const OpenTransaction& transaction, bool in_doubt, TimePoint now);
--- a/servers/host/transaction_table.h
+++ b/servers/host/transaction_table.h
@@ -8,6 +8,7 @@
 #include "core/ids.h"
 #include "core/log_point.h"
 #include "core/request.h"
+#include "core/session/transaction_handle.h"
 #include "core/time.h"
 
 namespace teaselrudder {
@@ -28,30 +29,28 @@
   TimePoint idle_deadline;
 };
 
-/// What a transaction handle says: the host that holds the transaction and its number there.
-struct TransactionAddress {
-  HostId host;
-  Incarnation incarnation;
-  std::uint64_t number = 0;
-};
-
-/// The open transactions of this host, and the signed handles that name them.
+/// The open transactions of this host.
 class TransactionTable {
  public:
   /// Bound on open transactions; each holds a connection.
   static constexpr std::size_t kMaxOpen = 4096;
 
-  TransactionTable(HostId self, Incarnation incarnation, std::string key);
+  TransactionTable(HostId self, Incarnation incarnation, const std::string& key);
 
   /// Adds a transaction and returns its handle, or nothing if the table is full.
   std::optional<TransactionHandle> add(OpenTransaction transaction);
 
-  /// Reads a handle of any host; nothing if it is malformed or its signature does not fit.
-  std::optional<TransactionAddress> read_handle(const TransactionHandle& handle) const;
+  /// Reads a handle of any host; nothing if it is malformed or fails authentication.
+  std::optional<TransactionAddress> read_handle(const TransactionHandle& handle) const {
+    return m_handles.decode(handle);
+  }
 
   /// Returns the transaction at `address`, or null if this host does not hold it.
   OpenTransaction* find(const TransactionAddress& address);
 
+  /// Returns the transaction with `number`, or null.
+  OpenTransaction* find(std::uint64_t number);
+
   /// Forgets a transaction.
   void remove(std::uint64_t number) { m_transactions.erase(number); }
 
@@ -66,7 +65,7 @@
  private:
   HostId m_self;
   Incarnation m_incarnation;
-  std::string m_key;
+  TransactionHandleCodec m_handles;
   std::uint64_t m_last_number = 0;
   std::map<std::uint64_t, OpenTransaction> m_transactions;
 };
--- a/tests/servers/entry_host_test.cc
+++ b/tests/servers/entry_host_test.cc
@@ -273,6 +273,8 @@
   static Request step(const TransactionHandle& handle, TransactionStep step, const std::string& key,
                       const std::string& value) {
     Request request = HostWorld::write_request(key, value);
+    // As over HTTP, a step names its transaction and no service.
+    request.service = ServiceName();
     request.step = step;
     request.transaction = handle;
     if (step != TransactionStep::kContinue) {
