Keep the configuration of a host and change it through the store

Cause: hosts adopted versions from peers only, and nothing changed the document. ChangeRunner reads, swaps and resolves lost answers by the change id; the document keeps the last 64 ids.

Ruled out: refusing after a lost answer when the read-back shows the old revision, because the write may still take effect. The same write on the same revision is sent again instead; only one write can replace a revision.

--- a/core/config/configuration.h
+++ b/core/config/configuration.h
@@ -62,6 +62,8 @@
   ConfigurationVersion version;
   /// Unique id of the change that produced this version.
   std::string change_id;
+  /// Ids of the last changes, the newest last, at most kMaxRecentChanges. The last one is `change_id`.
+  std::vector<std::string> recent_changes;
   std::map<GroupId, GroupConfiguration> groups;
   std::map<ServiceName, ServiceConfiguration> services;
   std::set<HostId> draining_hosts;
@@ -75,6 +77,8 @@
 inline constexpr std::size_t kMaxNameLength = 64;
 inline constexpr std::uint32_t kMaxSlots = 1024;
 inline constexpr std::uint32_t kMaxConnections = 10000;
+/// An operator whose answer was lost finds the change by its id as long as no more changes than this came after it.
+inline constexpr std::size_t kMaxRecentChanges = 64;
 inline constexpr Duration kMaxDeadline = std::chrono::minutes(10);
 inline constexpr Duration kMaxMaxAge = std::chrono::hours(24);
 
--- a/core/config/configuration_json.cc
+++ b/core/config/configuration_json.cc
@@ -90,6 +90,11 @@
   Configuration configuration;
   configuration.version = ConfigurationVersion(read_unsigned<std::uint64_t>(json, "version"));
   configuration.change_id = json.at("change_id").get<std::string>();
+  // Documents of earlier releases have no list.
+  configuration.recent_changes = json.value("recent_changes", std::vector<std::string>());
+  if (configuration.recent_changes.size() > kMaxRecentChanges) {
+    throw std::out_of_range("field 'recent_changes' has more than " + std::to_string(kMaxRecentChanges) + " entries");
+  }
   for (const Json& entry : json.at("groups")) {
     GroupConfiguration group = group_from_json(entry);
     const GroupId id = group.id;
@@ -118,6 +123,7 @@
 std::string configuration_to_json(const Configuration& configuration) {
   Json json = {{"version", configuration.version.value()},
                {"change_id", configuration.change_id},
+               {"recent_changes", configuration.recent_changes},
                {"groups", Json::array()},
                {"services", Json::array()},
                {"draining_hosts", Json::array()},
--- a/servers/host/charts.cc
+++ b/servers/host/charts.cc
@@ -39,6 +39,16 @@
   return names;
 }
 
+const Names& change_states() {
+  static const Names names = {"reading", "swapping", "resolving", "accepted", "refused", "unknown"};
+  return names;
+}
+
+const Names& change_events() {
+  static const Names names = {"base_matches", "answer_lost", "still_unchanged", "accept", "refuse", "give_up"};
+  return names;
+}
+
 // Loads one chart into `slot`; returns the error, if any.
 std::optional<std::string> load_into(std::shared_ptr<const StateChart>& slot, const ChartSource& source,
                                      std::string_view name, const Names& states, const Names& events) {
@@ -66,6 +76,9 @@
   if (!error.has_value()) {
     error = load_into(charts.group, source, "database_group", group_state_names(), group_event_names());
   }
+  if (!error.has_value()) {
+    error = load_into(charts.change, source, "configuration_change", change_states(), change_events());
+  }
   if (error.has_value()) {
     return tl::unexpected(*error);
   }
--- a/servers/host/charts.h
+++ b/servers/host/charts.h
@@ -24,6 +24,11 @@
 /// Events of misc/charts/planned_stop.scxml.
 enum class StopEvent { kStopOrdered, kAnnounced, kDrained, kDeadlinePassed };
 
+/// States of misc/charts/configuration_change.scxml.
+enum class ChangeState { kReading, kSwapping, kResolving, kAccepted, kRefused, kUnknown };
+/// Events of misc/charts/configuration_change.scxml.
+enum class ChangeEvent { kBaseMatches, kAnswerLost, kStillUnchanged, kAccept, kRefuse, kGiveUp };
+
 /// A running instance of a chart whose states and events are enumerations.
 template <typename State, typename Event>
 class ChartInstance {
@@ -52,6 +57,7 @@
 
 using ConnectionChart = ChartInstance<ConnectionState, ConnectionEvent>;
 using RequestChart = ChartInstance<RequestState, RequestEvent>;
+using ChangeChart = ChartInstance<ChangeState, ChangeEvent>;
 using StopChart = ChartInstance<StopState, StopEvent>;
 
 /// The state charts of a host, checked and shared by all instances.
@@ -60,6 +66,7 @@
   std::shared_ptr<const StateChart> request;
   std::shared_ptr<const StateChart> stop;
   std::shared_ptr<const StateChart> group;
+  std::shared_ptr<const StateChart> change;
 };
 
 /// Gives the text of a chart by its name; empty if there is none.
--- a/servers/host/host_context.h
+++ b/servers/host/host_context.h
@@ -26,6 +26,8 @@
   /// Key of session tokens and transaction handles; the same on all hosts.
   std::string token_key;
   std::uint64_t random_seed = 0;
+  /// Prefix of this system's keys in the platform's store.
+  std::string store_prefix = "/teaselrudder";
   GroupTimings group_timings;
   HostTableTimings host_table_timings;
   PoolLimits pool_limits;
