Pass store events and operators' commands to the host

Cause: the keeper and the operators' language were merged, but the daemon dropped their events. The adapter's Command becomes ScriptCommand: the operators' Command has the same name in the same namespace, which the linker would not have reported.

--- a/drivers/postgres/answer_interpreter.cc
+++ b/drivers/postgres/answer_interpreter.cc
@@ -77,12 +77,12 @@
   return static_cast<std::size_t>(failed - outcomes.begin());
 }
 
-bool is_already_recorded(const Command& command, const CommandOutcome& outcome) {
+bool is_already_recorded(const ScriptCommand& command, const CommandOutcome& outcome) {
   return command.role == CommandRole::kRecord && outcome.sqlstate == member_sql::kDivisionByZero;
 }
 
 /// Tells whether the failure of `command` leaves no effect of its operation behind.
-bool failure_rolls_back(const Command& command, const CommandOutcome& outcome) {
+bool failure_rolls_back(const ScriptCommand& command, const CommandOutcome& outcome) {
   switch (command.role) {
     case CommandRole::kCommit:
     case CommandRole::kAnswer:
@@ -189,7 +189,7 @@
   const std::vector<CommandOutcome>& m_outcomes;
 };
 
-UpstreamError to_error(const Command& command, const CommandOutcome& outcome) {
+UpstreamError to_error(const ScriptCommand& command, const CommandOutcome& outcome) {
   UpstreamError error{UpstreamErrorKind::kStatementFailed, !failure_rolls_back(command, outcome), outcome.sqlstate,
                       outcome.message};
   if (outcome.sqlstate == member_sql::kNotPrimaryInTerm) {
--- a/drivers/postgres/operation_script.cc
+++ b/drivers/postgres/operation_script.cc
@@ -167,7 +167,7 @@
   const auto refuse = [](const char* sqlstate, const char* message) {
     return UpstreamError{UpstreamErrorKind::kStatementFailed, false, sqlstate, message};
   };
-  for (const Command& command : script) {
+  for (const ScriptCommand& command : script) {
     if (command.role == CommandRole::kStatement && is_session_statement(command.sql)) {
       return refuse(member_sql::kFeatureNotSupported, "statement controls the transaction or the session");
     }
--- a/drivers/postgres/operation_script.h
+++ b/drivers/postgres/operation_script.h
@@ -22,14 +22,14 @@
 };
 
 /// One command of a pipeline.
-struct Command {
+struct ScriptCommand {
   CommandRole role = CommandRole::kControl;
   std::string sql;
   std::vector<std::optional<std::string>> parameters;
 };
 
 /// The commands of one operation, sent in one pipeline.
-using Script = std::vector<Command>;
+using Script = std::vector<ScriptCommand>;
 
 /// Returns the commands of `operation`.
 ///
--- a/drivers/postgres/postgres_connection.cc
+++ b/drivers/postgres/postgres_connection.cc
@@ -289,7 +289,7 @@
   return true;
 }
 
-bool PostgresConnection::send_command(const Command& command) {
+bool PostgresConnection::send_command(const ScriptCommand& command) {
   if (command.role == CommandRole::kSynchronize) {
     return PQpipelineSync(m_connection.get()) == 1;
   }
--- a/drivers/postgres/postgres_connection.h
+++ b/drivers/postgres/postgres_connection.h
@@ -83,7 +83,7 @@
 
   std::optional<UpstreamError> find_rejection(const UpstreamOperation& details) const;
   bool send_script();
-  bool send_command(const Command& command);
+  bool send_command(const ScriptCommand& command);
   void flush();
 
   void receive();
--- a/main/entry_host_runtime.cc
+++ b/main/entry_host_runtime.cc
@@ -146,6 +146,7 @@
   host.group_timings.probe_interval = settings.probe_interval;
   host.group_timings.probe_timeout = settings.probe_timeout;
   host.group_timings.suspicion_timeout = settings.suspicion;
+  host.store_prefix = settings.store_prefix;
   host.max_queue = static_cast<std::uint32_t>(settings.max_queue);
   host.replica_wait = settings.replica_wait;
   host.stop_timeout = settings.stop_timeout;
--- a/main/host_event_relay.h
+++ b/main/host_event_relay.h
@@ -64,14 +64,22 @@
   void on_host_list(tl::expected<std::vector<HostRecord>, StoreError> outcome, TimePoint now) override {
     pass([&] { m_host->on_host_list(std::move(outcome), now); });
   }
-  void on_store_read(StoreCallId /*call*/, tl::expected<StoreValue, StoreError> /*outcome*/,
-                     TimePoint /*now*/) override {}
-  void on_store_swapped(StoreCallId /*call*/, tl::expected<CompareAndSwapResult, StoreError> /*outcome*/,
-                        TimePoint /*now*/) override {}
-  void on_store_changed(WatchId /*watch*/, const StoreValue& /*value*/, TimePoint /*now*/) override {}
-  void on_watch_failed(WatchId /*watch*/, const StoreError& /*error*/, TimePoint /*now*/) override {}
-  void on_operator_command(OperatorRequestId /*request*/, std::string /*command*/, bool /*check_only*/,
-                           TimePoint /*now*/) override {}
+  void on_store_read(StoreCallId call, tl::expected<StoreValue, StoreError> outcome, TimePoint now) override {
+    pass([&] { m_host->on_store_read(call, std::move(outcome), now); });
+  }
+  void on_store_swapped(StoreCallId call, tl::expected<CompareAndSwapResult, StoreError> outcome,
+                        TimePoint now) override {
+    pass([&] { m_host->on_store_swapped(call, std::move(outcome), now); });
+  }
+  void on_store_changed(WatchId watch, const StoreValue& value, TimePoint now) override {
+    pass([&] { m_host->on_store_changed(watch, value, now); });
+  }
+  void on_watch_failed(WatchId watch, const StoreError& error, TimePoint now) override {
+    pass([&] { m_host->on_watch_failed(watch, error, now); });
+  }
+  void on_operator_command(OperatorRequestId request, std::string command, bool check_only, TimePoint now) override {
+    pass([&] { m_host->on_operator_command(request, std::move(command), check_only, now); });
+  }
 
  private:
   template <typename Event>
