Test daemons as processes: transactions, kill -9, rolling stop

Cause: the promises about planned stops and transactions had proofs under virtual time only. Conclusion: health means configured and not stopping.

--- a/main/entry_host_runtime.cc
+++ b/main/entry_host_runtime.cc
@@ -173,7 +173,9 @@
 }
 
 void EntryHostRuntime::after_event() {
-  m_services.set_healthy(m_host->planned_stop().healthy());
+  // A host without a configuration knows no service, so a load balancer must not send it requests yet.
+  const bool configured = m_host->configuration().version > ConfigurationVersion();
+  m_services.set_healthy(configured && m_host->planned_stop().healthy());
   if (m_stopped && m_host->planned_stop().stopped()) {
     std::exchange(m_stopped, nullptr)();
   }
--- /dev/null
+++ b/tests/main/processes_test.cc
@@ -0,0 +1,239 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <array>
+#include <atomic>
+#include <memory>
+#include <mutex>
+#include <nlohmann/json.hpp>
+#include <thread>
+
+#include "tests/drivers/http/test_client.h"
+#include "tests/main/child_process.h"
+
+namespace teaselrudder {
+
+namespace {
+
+using Json = nlohmann::json;
+using testing::ChildProcess;
+using testing::exchange_http;
+using testing::TestConnection;
+using testing::TestResponse;
+
+constexpr std::size_t kHosts = 3;
+constexpr std::size_t kClients = 4;
+constexpr int kRequestsPerClient = 100;
+const std::array<std::string, kHosts> kDomains = {"toledo", "detroit", "cleveland"};
+const std::string kStatements = "/v1/services/rooms/statements";
+
+Json statement(const std::string& sql, const std::vector<std::string>& parameters) {
+  return {{"sql", sql}, {"params", parameters}};
+}
+
+Json append_statement(const std::string& key, const std::string& mark) {
+  return statement("UPDATE kv SET value = value || $2 WHERE key = $1", {key, mark});
+}
+
+/// A store, three members and three daemons as processes of their own.
+class ProcessesTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(ProcessesTest);
+  CPPUNIT_TEST(transaction_crosses_daemons);
+  CPPUNIT_TEST(killed_daemon_leaves_no_part_of_a_transaction);
+  CPPUNIT_TEST(rolling_stop_under_load_cuts_off_no_request);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void setUp() override {
+    m_store = std::make_unique<ChildProcess>("store_stand_in", std::vector<std::string>());
+    m_store_port = m_store->read_port("port");
+    std::string command = "SET GROUP ripening";
+    for (std::size_t index = 0; index < kHosts; ++index) {
+      m_members[index] = std::make_unique<ChildProcess>("database_member", std::vector<std::string>());
+      command += " MEMBER " + kDomains[index] + " AT 127.0.0.1:" + std::to_string(m_members[index]->read_port("port")) +
+                 " IN " + kDomains[index] + " SLOTS 3 CONNECTIONS 20";
+    }
+    command += "; SET SERVICE rooms GROUP ripening FRESHNESS own_writes URGENCY urgent DEADLINE 60s";
+    for (std::size_t index = 0; index < kHosts; ++index) {
+      start_host(index);
+    }
+    const TestResponse configured =
+        exchange_http(m_hosts[0]->read_port("operator"), "POST", "/v1/commands", Json{{"command", command}}.dump());
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(configured.body, 200, configured.status);
+    for (std::size_t index = 0; index < kHosts; ++index) {
+      wait_until_configured(index);
+    }
+    request(0, kStatements,
+            {{"statements",
+              {statement("INSERT INTO kv (key, value) VALUES ($1, $2) "
+                         "ON CONFLICT (key) DO UPDATE SET value = excluded.value",
+                         {"k", ""})}}});
+  }
+
+  void tearDown() override {
+    for (std::size_t index = 0; index < kHosts; ++index) {
+      m_hosts[index].reset();
+      m_members[index].reset();
+    }
+    m_store.reset();
+  }
+
+  // Guards against a transaction that only the daemon that opened it can continue.
+  void transaction_crosses_daemons() {
+    const std::string handle = begin(0, "a");
+    const std::string path = "/v1/transactions/" + handle;
+    request(1, path + "/statements", {{"statements", {append_statement("k", "b")}}});
+    const Json committed = request(2, path + "/commit", Json::object());
+    CPPUNIT_ASSERT_EQUAL(std::string("ab"), read_value(1, committed.at("token")));
+  }
+
+  // Guards against half of a transaction that survives the process that held it.
+  void killed_daemon_leaves_no_part_of_a_transaction() {
+    const std::string handle = begin(0, "a");
+    // The handle begins with the name of the host that holds the transaction.
+    const std::size_t holder = std::stoul(handle.substr(4, 1));
+    m_hosts[holder]->send_signal(SIGKILL);
+    m_hosts[holder]->wait();
+    const std::size_t other = (holder + 1) % kHosts;
+    const TestResponse refused =
+        exchange_http(caller_port(other), "POST", "/v1/transactions/" + handle + "/commit", "{}");
+    CPPUNIT_ASSERT(refused.status != 200);
+    CPPUNIT_ASSERT(Json::parse(refused.body).at("refusal").at("ran") != "yes");
+    CPPUNIT_ASSERT_EQUAL(std::string(), read_value(other, ""));
+  }
+
+  // Guards against a request that is cut off, lost or doubled while all hosts are replaced one after another.
+  void rolling_stop_under_load_cuts_off_no_request() {
+    std::vector<std::thread> clients;
+    std::atomic<int> failures{0};
+    for (std::size_t client = 0; client < kClients; ++client) {
+      clients.emplace_back([&, client] { failures += run_client(client); });
+    }
+    for (std::size_t index = 0; index < kHosts; ++index) {
+      m_hosts[index]->send_signal(SIGTERM);
+      const int exit_code = m_hosts[index]->wait();
+      start_host(index);
+      wait_until_configured(index);
+      CPPUNIT_ASSERT_EQUAL(0, exit_code);
+    }
+    m_stopped_all = true;
+    for (std::thread& client : clients) {
+      client.join();
+    }
+    CPPUNIT_ASSERT_EQUAL(0, failures.load());
+    const std::string value = read_value(0, "");
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    CPPUNIT_ASSERT(m_acknowledged.size() >= kClients * kRequestsPerClient);
+    std::size_t length = 0;
+    for (const std::string& mark : m_acknowledged) {
+      CPPUNIT_ASSERT(value.find(mark) != std::string::npos);
+      length += mark.size();
+    }
+    CPPUNIT_ASSERT_EQUAL(length, value.size());
+  }
+
+ private:
+  void start_host(std::size_t index) {
+    std::string known;
+    for (std::size_t other = 0; other < kHosts; ++other) {
+      if (other != index && m_hosts[other] != nullptr) {
+        known += (known.empty() ? "" : ",") + ("127.0.0.1:" + std::to_string(m_hosts[other]->read_port("peer")));
+      }
+    }
+    auto host = std::make_unique<ChildProcess>(
+        "teaselrudderd",
+        std::vector<std::string>{"--host_id=host" + std::to_string(index), "--failure_domain=" + kDomains[index],
+                                 "--store_endpoints=127.0.0.1:" + std::to_string(m_store_port), "--log_level=error",
+                                 "--token_key=a key for tests only", "--static_hosts=" + known});
+    const std::uint16_t port = host->read_port("caller");
+    m_hosts[index] = std::move(host);
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    m_caller_ports[index] = port;
+  }
+
+  std::uint16_t caller_port(std::size_t index) {
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    return m_caller_ports[index];
+  }
+
+  void wait_until_configured(std::size_t index) {
+    while (exchange_http(caller_port(index), "GET", "/metrics").body.find("configuration_version 1\n") ==
+           std::string::npos) {
+      std::this_thread::yield();
+    }
+  }
+
+  Json request(std::size_t host, const std::string& path, const Json& body) {
+    const TestResponse response = exchange_http(caller_port(host), "POST", path, body.dump());
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(response.body, 200, response.status);
+    return Json::parse(response.body);
+  }
+
+  std::string begin(std::size_t host, const std::string& mark) {
+    const Json begun =
+        request(host, "/v1/services/rooms/transactions", {{"statements", {append_statement("k", mark)}}});
+    return begun.at("transaction");
+  }
+
+  std::string read_value(std::size_t host, const std::string& token) {
+    Json body = {{"statements", {statement("SELECT value FROM kv WHERE key = $1", {"k"})}}, {"read_only", true}};
+    if (token.empty()) {
+      body["freshness"] = "fresh";
+    } else {
+      body["token"] = token;
+    }
+    return request(host, kStatements, body).at("results").at(0).at("rows").at(0).at(0);
+  }
+
+  // Sends writes as through a load balancer that trusts the health check. Returns the number that failed.
+  int run_client(std::size_t client) {
+    int failures = 0;
+    for (int number = 0; number < kRequestsPerClient || !m_stopped_all; ++number) {
+      const std::string mark = "<" + std::to_string(client) + "." + std::to_string(number) + ">";
+      const std::string body = Json{{"statements", {append_statement("k", mark)}}}.dump();
+      try {
+        const TestResponse response = exchange_http(find_healthy_port(client), "POST", kStatements, body);
+        if (response.status != 200) {
+          std::printf("%s\n", response.body.c_str());
+          ++failures;
+          continue;
+        }
+      } catch (const std::exception& error) {
+        std::printf("%s\n", error.what());
+        ++failures;
+        continue;
+      }
+      const std::lock_guard<std::mutex> lock(m_mutex);
+      m_acknowledged.push_back(mark);
+    }
+    return failures;
+  }
+
+  std::uint16_t find_healthy_port(std::size_t first) {
+    for (std::size_t index = first;; ++index) {
+      const std::uint16_t port = caller_port(index % kHosts);
+      TestConnection connection(port);
+      try {
+        if (connection.connected() && exchange_http(connection, "GET", "/healthz").status == 200) {
+          return port;
+        }
+      } catch (const std::exception&) {
+        // The host ended between the connection and the answer; the next one is asked.
+      }
+    }
+  }
+
+  std::unique_ptr<ChildProcess> m_store;
+  std::uint16_t m_store_port = 0;
+  std::array<std::unique_ptr<ChildProcess>, kHosts> m_members;
+  std::array<std::unique_ptr<ChildProcess>, kHosts> m_hosts;
+  std::mutex m_mutex;
+  std::array<std::uint16_t, kHosts> m_caller_ports{};
+  std::vector<std::string> m_acknowledged;
+  std::atomic<bool> m_stopped_all{false};
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ProcessesTest);
+
+}  // namespace
+
+}  // namespace teaselrudder
