--- a/main/answer_table.cc
+++ b/main/answer_table.cc
@@ -96,7 +96,7 @@
 }
 
 bool is_table(const std::string& name, const Json& value) {
-  return name == "rows" && value.is_array() &&
+  return (name == "rows" || name == "difference") && value.is_array() &&
          std::all_of(value.begin(), value.end(), [](const Json& row) { return row.is_object(); });
 }
 
