--- a/misc/measure/host_world.h
+++ b/misc/measure/host_world.h
@@ -24,6 +24,8 @@
 /// Settings of a world of hosts and members under virtual time.
 struct WorldOptions {
   std::size_t domains = 3;
+  /// Members of the group; member i is in failure domain i.
+  std::size_t members = 3;
   std::size_t hosts_per_domain = 2;
   Duration latency = std::chrono::microseconds(1500);
   Duration local_latency = std::chrono::microseconds(100);
@@ -45,13 +47,13 @@
   std::vector<std::pair<std::string, std::string>> appends;
 };
 
-/// Entry hosts in several failure domains before one group with a member in each, under virtual time.
+/// Entry hosts in several failure domains before one group with members in the first of them, under virtual time.
 class HostWorld {
  public:
   explicit HostWorld(const WorldOptions& options) : m_options(options), m_random(options.seed) {
     m_configuration = make_configuration();
-    m_members.resize(options.domains);
-    for (std::size_t index = 0; index < options.domains; ++index) {
+    m_members.resize(options.members);
+    for (std::size_t index = 0; index < options.members; ++index) {
       replicate(index);
     }
     for (std::size_t index = 0; index < options.domains * options.hosts_per_domain; ++index) {
@@ -305,7 +307,7 @@
     Configuration configuration;
     configuration.version = ConfigurationVersion(1);
     GroupConfiguration group{GroupId("g"), {}};
-    for (std::size_t index = 0; index < m_options.domains; ++index) {
+    for (std::size_t index = 0; index < m_options.members; ++index) {
       MemberConfiguration member;
       member.id = MemberId("m" + std::to_string(index));
       member.endpoint = {"127.0.0.1", static_cast<std::uint16_t>(2000 + index)};
