Measure the daemon against a direct connection

Cause: there was no figure for what the daemon adds to a statement, nor for the statements that one core serves.

misc/scripts/measure_daemon.sh starts three stand-in members and one daemon and runs daemon_load against them.

--- /dev/null
+++ b/misc/scripts/measure_daemon.sh
@@ -0,0 +1,81 @@
+#!/usr/bin/env bash
+# Builds, then measures one daemon in front of a group of three stand-in members against a direct connection to the
+# primary: latency of statements one after another, and statements per second with concurrent connections. Stops
+# everything it started. Uses ports of 127.0.0.1 that the system chooses. Arguments go to daemon_load.
+# SLOTS sets the slots of each member (default 3); PRINT_METRICS=yes prints the daemon's counters at the end.
+set -euo pipefail
+cd "$(dirname "$0")/../.."
+
+build_dir=${BUILD_DIR:-build}
+slots=${SLOTS:-3}
+cmake -S . -B "$build_dir" -G Ninja >/dev/null
+cmake --build "$build_dir" -j "${BUILD_JOBS:-3}" --target teaselrudderd database_member daemon_load >/dev/null
+
+work_dir=$(mktemp -d)
+pids=()
+cleanup() {
+  for pid in "${pids[@]}"; do
+    kill "$pid" 2>/dev/null || true
+  done
+  wait 2>/dev/null || true
+  rm -rf "$work_dir"
+}
+trap cleanup EXIT
+
+# Starts a program in the background, with its output in $work_dir/NAME.out and .log; leaves its id in $pid.
+start() {
+  local name=$1
+  shift
+  "$@" >"$work_dir/$name.out" 2>"$work_dir/$name.log" </dev/null &
+  pid=$!
+  pids+=("$pid")
+}
+
+# Waits until the program NAME has printed FIELD=value and prints the value.
+wait_for_value() {
+  local name=$1 field=$2 value
+  for _ in $(seq 200); do
+    value=$(sed -n "s/.*\b$field=\([0-9]*\).*/\1/p" "$work_dir/$name.out" | head -n 1)
+    if [ -n "$value" ]; then
+      echo "$value"
+      return
+    fi
+    sleep 0.05
+  done
+  echo "measure_daemon: $name did not start" >&2
+  cat "$work_dir/$name.log" >&2
+  return 1
+}
+
+members=""
+member_ports=""
+member_pids=""
+for name in first second third; do
+  start "$name" "$build_dir/database_member" --connect_delay_ms=10 --connections=20 --slots="$slots"
+  member_pids+=${member_pids:+,}$pid
+  port=$(wait_for_value "$name" port)
+  member_ports+=${member_ports:+,}$port
+  members+="${members:+,}{\"id\": \"$name\", \"ip\": \"127.0.0.1\", \"port\": $port, \"failure_domain\": \"local\","
+  members+="\"slots\": $slots, \"connections\": 20, \"leaving\": false}"
+done
+
+cat >"$work_dir/configuration.json" <<END
+{"version": 1, "change_id": "measure-daemon", "draining_hosts": [], "draining_failure_domains": [],
+ "groups": [{"id": "group", "members": [$members]}],
+ "services": [{"name": "measured", "group": "group", "freshness": "own_writes", "max_age_ms": 1000,
+               "urgency": "normal", "idempotent": false, "read_only": false, "deadline_ms": 10000,
+               "max_in_flight": 10000}]}
+END
+start daemon "$build_dir/teaselrudderd" --host_id=measured --failure_domain=local \
+  --config_file="$work_dir/configuration.json" --token_key=measurement-key-only
+daemon_pid=$pid
+daemon_port=$(wait_for_value daemon caller)
+
+echo "machine: $(nproc) processors;$(uptime)"
+# The time limit ends the load even if the daemon hangs.
+timeout 240 "$build_dir/daemon_load" --member_ports="$member_ports" --member_pids="$member_pids" \
+  --daemon_port="$daemon_port" --daemon_pid="$daemon_pid" "$@"
+echo "machine:$(uptime)"
+if [ "${PRINT_METRICS:-no}" = yes ]; then
+  curl -sS -m 5 "http://127.0.0.1:$daemon_port/metrics"
+fi
