Test changes of the configuration under faults of the store and the network

Cause: the keeper and the language had no tests. HostWorld gets a store in memory that is down, slow or loses answers.

--- a/misc/measure/host_world.h
+++ b/misc/measure/host_world.h
@@ -14,8 +14,10 @@
 #include <utility>
 #include <vector>
 
+#include "core/config/configuration_json.h"
 #include "core/overloaded.h"
 #include "misc/measure/member_model.h"
+#include "misc/measure/store_model.h"
 #include "servers/host/entry_host.h"
 
 // Header-only, because both the measurement programs and the tests use it.
@@ -33,6 +35,8 @@
   std::uint32_t slots = 3;
   std::uint32_t connections = 20;
   std::uint64_t seed = 1;
+  /// Hosts begin with the configuration as if from their settings; otherwise they learn it from the store or peers.
+  bool configure_hosts = true;
 };
 
 /// What became of a caller's request.
@@ -50,6 +54,8 @@
  public:
   explicit HostWorld(const WorldOptions& options) : m_options(options), m_random(options.seed) {
     m_configuration = make_configuration();
+    m_store.put(configuration_to_json(m_configuration));
+    m_store.on_change = [this](const StoreValue& value) { report_change(value); };
     m_members.resize(options.domains);
     for (std::size_t index = 0; index < options.domains; ++index) {
       replicate(index);
@@ -66,6 +72,35 @@
   const Counters& counters(std::size_t index) const { return m_nodes[index]->counters; }
   MemberModel& member(std::size_t index) { return m_members[index].model; }
   Configuration& configuration() { return m_configuration; }
+  StoreModel& store() { return m_store; }
+
+  /// Sends an operator's command to a host; returns its number for operator_answer().
+  std::size_t command(std::size_t host_index, std::string text, bool check_only = false) {
+    const std::size_t number = m_operator_answers.size();
+    m_operator_answers.emplace_back();
+    deliver(host_index, m_nodes[host_index]->life, [this, host_index, number, text = std::move(text), check_only] {
+      m_nodes[host_index]->host->on_operator_command(OperatorRequestId(number + 1), text, check_only, m_now);
+    });
+    return number;
+  }
+
+  /// Returns the answer to a command, or nothing while it has none.
+  const std::optional<OperatorAnswer>& operator_answer(std::size_t number) const { return m_operator_answers[number]; }
+
+  /// Tells whether a host runs.
+  bool alive(std::size_t index) const { return m_nodes[index]->alive; }
+
+  /// Returns the number of watches that hosts have on the store.
+  std::size_t open_watches() const { return m_watches.size(); }
+
+  /// Ends all watches of the store.
+  void fail_watches() {
+    const auto watches = std::exchange(m_watches, {});
+    for (const auto& [key, life] : watches) {
+      deliver(key.first, life,
+              [this, key = key] { m_nodes[key.first]->host->on_watch_failed(key.second, StoreError{}, m_now); });
+    }
+  }
 
   /// Runs all events of the next `duration`.
   void run_for(Duration duration) {
@@ -155,7 +190,9 @@
         node.host->add_known_host(record_of(other), m_now);
       }
     }
-    node.host->adopt_configuration(m_configuration, "test", m_now);
+    if (m_options.configure_hosts) {
+      node.host->adopt_configuration(m_configuration, "test", m_now);
+    }
     schedule_tick(index);
   }
 
@@ -255,13 +292,23 @@
     void answer(PeerCallId call, PeerResponse response) override {
       world.answer_peer(index, call, std::move(response));
     }
-    void get(StoreCallId /*call*/, const std::string& /*key*/) override {}
-    void compare_and_swap(StoreCallId /*call*/, const std::string& /*key*/, StoreRevision /*expected*/,
-                          const std::string& /*value*/) override {}
-    void watch(WatchId /*watch*/, const std::string& /*key*/, StoreRevision /*from*/) override {}
-    void cancel_watch(WatchId /*watch*/) override {}
+    void get(StoreCallId call, const std::string& /*key*/) override { world.read_store(index, call); }
+    void compare_and_swap(StoreCallId call, const std::string& /*key*/, StoreRevision expected,
+                          const std::string& value) override {
+      world.swap_store(index, call, expected, value);
+    }
+    void watch(WatchId watch, const std::string& /*key*/, StoreRevision /*from*/) override {
+      world.m_watches[{index, watch}] = life;
+    }
+    void cancel_watch(WatchId watch) override { world.m_watches.erase({index, watch}); }
     void fetch_host_list() override {}
-    void answer(OperatorRequestId /*request*/, OperatorAnswer /*answer*/) override {}
+    void answer(OperatorRequestId request, OperatorAnswer answer) override {
+      std::optional<OperatorAnswer>& slot = world.m_operator_answers.at(request.value() - 1);
+      if (slot.has_value()) {
+        throw std::runtime_error("a command was answered twice");
+      }
+      slot = std::move(answer);
+    }
     void log_state_change(std::string_view /*event*/, const LogFields& /*fields*/) override {}
 
     HostWorld& world;
@@ -582,6 +629,35 @@
     return result;
   }
 
+  void read_store(std::size_t index, StoreCallId call) {
+    const std::uint64_t life = m_nodes[index]->life;
+    at(m_now + m_store.delay, [=, this] {
+      const auto outcome = m_store.read(m_random);
+      at(m_now + m_store.delay,
+         [=, this] { deliver(index, life, [=, this] { m_nodes[index]->host->on_store_read(call, outcome, m_now); }); });
+    });
+  }
+
+  void swap_store(std::size_t index, StoreCallId call, StoreRevision expected, const std::string& value) {
+    const std::uint64_t life = m_nodes[index]->life;
+    at(m_now + m_store.delay, [=, this] {
+      const auto outcome = m_store.swap(expected, value, m_random);
+      at(m_now + m_store.delay, [=, this] {
+        deliver(index, life, [=, this] { m_nodes[index]->host->on_store_swapped(call, outcome, m_now); });
+      });
+    });
+  }
+
+  void report_change(const StoreValue& value) {
+    for (const auto& [key, life] : m_watches) {
+      at(m_now + m_store.delay, [=, this, key = key, life = life] {
+        if (m_watches.contains(key)) {
+          deliver(key.first, life, [=, this] { m_nodes[key.first]->host->on_store_changed(key.second, value, m_now); });
+        }
+      });
+    }
+  }
+
   void call_peer(std::size_t caller, PeerCallId id, const Endpoint& peer, PeerRequest request, Duration timeout) {
     const std::size_t target = peer.port - 1000U;
     const std::uint64_t life = m_nodes[caller]->life;
@@ -654,6 +730,9 @@
 
   WorldOptions m_options;
   std::mt19937_64 m_random;
+  StoreModel m_store;
+  std::map<std::pair<std::size_t, WatchId>, std::uint64_t> m_watches;
+  std::vector<std::optional<OperatorAnswer>> m_operator_answers;
   Configuration m_configuration;
   std::vector<Member> m_members;
   TimePoint m_now{std::chrono::hours(1)};
