--- a/servers/scheduling/member_queue.cc
+++ b/servers/scheduling/member_queue.cc
@@ -89,7 +89,7 @@
     return tl::unexpected(
         QueueRefusal{RefusalReason::kQueueDeadline, std::clamp(excess, kMinRetryAfter, kMaxRetryAfter)});
   }
-  if (stands(work)) {
+  if (stands(work, wait)) {
     return tl::unexpected(QueueRefusal{RefusalReason::kQueueFull, StandingQueue::kTimeConstant});
   }
   if (!has_room(work) && !(work.urgency == Urgency::kUrgent && displace_background())) {
@@ -185,7 +185,11 @@
   return m_items.size() + reserve < m_limits.max_queue;
 }
 
-bool MemberQueue::stands(const QueuedWork& work) const {
+bool MemberQueue::stands(const QueuedWork& work, Duration wait) const {
+  // A transaction that is open already holds a connection and perhaps locks, so its statements are not held back.
+  if (work.in_transaction || wait <= kHarmlessWait) {
+    return false;
+  }
   const UrgencyClass& urgency_class = class_of(work.urgency);
   const StandingQueue& queue = work.is_long ? urgency_class.standing_long : urgency_class.standing_short;
   return queue.is_standing() && urgency_class.waiting(work.is_long) >= standing_limit(work.urgency);
--- a/servers/scheduling/member_queue.h
+++ b/servers/scheduling/member_queue.h
@@ -101,6 +101,9 @@
   static constexpr std::size_t kUrgencyCount = 3;
   /// Bound on the factor by which estimates are corrected.
   static constexpr double kHighestCorrection = 16.0;
+  /// A queue that never empties is no harm while its items wait no longer than this: a busy member of fast statements
+  /// always has some waiting.
+  static constexpr Duration kHarmlessWait = std::chrono::milliseconds(2);
 
   /// Place in the order within one lane: ascending rank, then the shorter one, then order of arrival.
   struct Place {
@@ -180,7 +183,7 @@
   Place place_of(const QueuedWork& work, TimePoint now) const;
   bool fits(const QueuedWork& work, Duration wait, TimePoint now) const;
   bool has_room(const QueuedWork& work) const;
-  bool stands(const QueuedWork& work) const;
+  bool stands(const QueuedWork& work, Duration wait) const;
   std::size_t standing_limit(Urgency urgency) const;
   void observe_standing(TimePoint now);
   bool displace_background();
--- a/tests/servers/entry_host_test.cc
+++ b/tests/servers/entry_host_test.cc
@@ -18,8 +18,11 @@
   CPPUNIT_TEST_SUITE(EntryHostTest);
   CPPUNIT_TEST(session_reads_its_write_through_another_host);
   CPPUNIT_TEST(writes_resume_after_the_primary_is_lost);
+  CPPUNIT_TEST(write_in_flight_at_the_loss_is_answered_truthfully);
   CPPUNIT_TEST(cut_off_primary_never_acknowledges);
+  CPPUNIT_TEST(cut_off_primary_serves_no_fresh_read);
   CPPUNIT_TEST(lost_answer_is_settled_truthfully);
+  CPPUNIT_TEST(owner_that_dies_after_the_write_doubles_nothing);
   CPPUNIT_TEST(same_request_id_through_two_hosts_runs_once);
   CPPUNIT_TEST(transaction_continues_through_another_host);
   CPPUNIT_TEST(transaction_of_a_dead_host_leaves_nothing);
@@ -55,6 +58,8 @@
     const CallerAnswer before = succeed(0, HostWorld::write_request("k", "a"));
     m_world->set_member_up(m_world->primary().value(), false);
     const TimePoint lost_at = m_world->now();
+    // A write that is sent on a connection before its end is noticed is the subject of the next test.
+    m_world->run_for(std::chrono::milliseconds(50));
     succeed(1, HostWorld::write_request("k", "b"));
     CPPUNIT_ASSERT(m_world->now() - lost_at < std::chrono::seconds(7));
     Request read = HostWorld::read_request("k", Freshness::kFresh);
@@ -62,6 +67,17 @@
     CPPUNIT_ASSERT_EQUAL(std::string("ab"), value_in(succeed(3, read)));
   }
 
+  // Guards against a wrong statement about a write whose connection ends while it is under way.
+  void write_in_flight_at_the_loss_is_answered_truthfully() {
+    const std::size_t write = m_world->submit(0, HostWorld::write_request("k", "a"));
+    m_world->set_member_up(m_world->primary().value(), false);
+    const CallerOutcome outcome = wait_for(write);
+    const bool acknowledged = outcome.has_value() || outcome.error().refusal.ran == Ran::kYes;
+    CPPUNIT_ASSERT_MESSAGE(describe(outcome), acknowledged || outcome.error().refusal.ran == Ran::kNo);
+    succeed(0, HostWorld::write_request("k", "b"));
+    CPPUNIT_ASSERT_EQUAL(std::string(acknowledged ? "ab" : "b"), m_world->stored(m_world->primary().value(), "k"));
+  }
+
   // Guards against an acknowledgement by a primary that still believes that it leads.
   void cut_off_primary_never_acknowledges() {
     const std::size_t old_primary = m_world->primary().value();
@@ -76,6 +92,35 @@
     CPPUNIT_ASSERT_EQUAL(std::string("new;"), m_world->stored(old_primary, "k"));
   }
 
+  // Guards against a fresh read that a replaced primary answers with old data.
+  void cut_off_primary_serves_no_fresh_read() {
+    const std::size_t old_primary = m_world->primary().value();
+    m_world->isolate(old_primary, true);
+    succeed((old_primary * 2 + 2) % m_world->hosts(), HostWorld::write_request("k", "new;"));
+    const Refusal refusal = refusal_of(old_primary * 2, HostWorld::read_request("k", Freshness::kFresh));
+    CPPUNIT_ASSERT(refusal.ran == Ran::kNo);
+  }
+
+  // Guards against a second run of a write after the host that ran it died before it could answer.
+  void owner_that_dies_after_the_write_doubles_nothing() {
+    m_world->set_service_time(std::chrono::milliseconds(20));
+    const std::size_t primary = m_world->primary().value();
+    const std::size_t sender = (primary * 2 + 2) % m_world->hosts();
+    const std::size_t write = m_world->submit(sender, HostWorld::write_request("k", "a"));
+    CPPUNIT_ASSERT(m_world->run_until([&] { return m_world->stored(primary, "k") == "a"; }, kLong));
+    for (std::size_t host = 0; host < m_world->hosts(); ++host) {
+      if (host != sender) {
+        m_world->kill_host(host);
+        m_world->start_host(host);
+      }
+    }
+    const CallerOutcome outcome = wait_for(write);
+    CPPUNIT_ASSERT(!outcome.has_value());
+    CPPUNIT_ASSERT(outcome.error().refusal.ran == Ran::kYes);
+    m_world->run_for(std::chrono::seconds(5));
+    CPPUNIT_ASSERT_EQUAL(std::string("a"), m_world->stored(primary, "k"));
+  }
+
   // Guards against a write of unknown outcome that is reported as not run although it ran, or is sent twice.
   void lost_answer_is_settled_truthfully() {
     m_world->set_service_time(std::chrono::milliseconds(20));
--- a/tests/servers/scheduling/member_queue_test.cc
+++ b/tests/servers/scheduling/member_queue_test.cc
@@ -237,6 +237,7 @@
   CPPUNIT_TEST(runs_long_work_beside_a_hanging_slot);
   CPPUNIT_TEST(prefers_transactions_without_starving_new_work);
   CPPUNIT_TEST(lets_late_work_fill_idle_slots_only);
+  CPPUNIT_TEST(busy_queue_of_fast_work_refuses_nothing);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -439,6 +440,29 @@
   }
 
   static inline std::uint64_t m_next_long = 1000000;
+
+  // Guards against refusals by a queue that never empties although each item waits for about a millisecond only.
+  void busy_queue_of_fast_work_refuses_nothing() {
+    constexpr std::size_t kOutstanding = 32;
+    constexpr Duration kService(100);
+    MemberQueue queue(QueueLimits{3, 512, seconds(1)});
+    std::uint64_t next_id = 0;
+    std::size_t outstanding = 0;
+    for (TimePoint now; now < TimePoint(seconds(5)); now += kService) {
+      for (; outstanding < kOutstanding; ++outstanding) {
+        const QueuedWork work = work_of(++next_id, Urgency::kNormal, kService, now + seconds(10));
+        CPPUNIT_ASSERT(queue.enqueue(work, now).has_value());
+      }
+      std::vector<WorkId> started;
+      while (const std::optional<WorkId> id = queue.start_next(now)) {
+        started.push_back(*id);
+      }
+      for (const WorkId id : started) {
+        queue.finish(id, now + kService);
+        --outstanding;
+      }
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(MemberQueueTest);
