--- a/misc/measure/group_harness.h
+++ b/misc/measure/group_harness.h
@@ -17,6 +17,7 @@
 
 #include "core/chart/compiled_charts.h"
 #include "core/chart/state_chart.h"
+#include "misc/measure/event_queue.h"
 #include "misc/measure/member_model.h"
 #include "servers/group/database_group.h"
 #include "servers/group/read_router.h"
@@ -92,39 +93,25 @@
     }
   }
 
-  TimePoint now() const { return m_now; }
+  TimePoint now() const { return m_events.now(); }
   DatabaseGroup& group(std::size_t owner) { return *m_nodes[owner].group; }
   MemberModel& member(std::size_t index) { return m_nodes[index].member; }
   std::size_t size() const { return m_nodes.size(); }
 
   /// Runs all events of the next `duration`.
-  void run_for(Duration duration) {
-    const TimePoint end = m_now + duration;
-    while (!m_events.empty() && m_events.begin()->first <= end) {
-      auto event = m_events.extract(m_events.begin());
-      m_now = event.key();
-      event.mapped()();
-    }
-    m_now = end;
-  }
+  void run_for(Duration duration) { m_events.run_for(duration); }
 
   /// Runs until `done` or for at most `limit`; returns whether `done` became true.
-  bool run_until(const std::function<bool()>& done, Duration limit) {
-    const TimePoint end = m_now + limit;
-    while (!done() && m_now < end) {
-      run_for(std::chrono::milliseconds(1));
-    }
-    return done();
-  }
+  bool run_until(const std::function<bool()>& done, Duration limit) { return m_events.run_until(done, limit); }
 
   /// Starts owner `index` anew, without any memory.
   void start_owner(std::size_t index) {
     Node& node = m_nodes[index];
     node.group =
-        std::make_unique<DatabaseGroup>(current_configuration(), owner_id(index), GroupTimings(), m_chart, m_now);
+        std::make_unique<DatabaseGroup>(current_configuration(), owner_id(index), GroupTimings(), m_chart, now());
     node.confirmations.clear();
     ++node.incarnation;
-    node.group->update_owners(index, m_nodes.size(), m_now);
+    node.group->update_owners(index, m_nodes.size(), now());
     pump(index);
   }
 
@@ -151,7 +138,7 @@
 
   /// Stops owner `index` for `duration`. What arrives meanwhile is delivered afterwards.
   void pause_owner(std::size_t index, Duration duration) {
-    m_nodes[index].paused_until = std::max(m_nodes[index].paused_until, m_now + duration);
+    m_nodes[index].paused_until = std::max(m_nodes[index].paused_until, now() + duration);
   }
 
   /// Makes the control connection from `owner` to `member` silent; a new one works.
@@ -168,7 +155,7 @@
   void update_configuration(const GroupConfiguration& configuration) {
     m_group = configuration;
     for (std::size_t index = 0; index < m_nodes.size(); ++index) {
-      group(index).update_configuration(configuration, m_now);
+      group(index).update_configuration(configuration, now());
       pump(index);
     }
   }
@@ -181,7 +168,7 @@
     }
     const std::size_t target = member_index(primary->member);
     const std::uint64_t id = m_next_record++;
-    const TimePoint sent_at = m_now;
+    const TimePoint sent_at = now();
     to_member(owner, target, Duration(0), [=, this] {
       const std::optional<LogPoint> point = member(target).write(primary->term, id);
       if (!point.has_value()) {
@@ -190,12 +177,12 @@
       m_observer.on_executed(id, point->term);
       const MemberStatus after = member(target).status();
       to_owner(target, owner, [=, this] {
-        group(owner).on_operation_report(primary->member, after, sent_at, m_now);
+        group(owner).on_operation_report(primary->member, after, sent_at, now());
         confirm(owner, *point, [=, this] {
           Session& state = m_sessions[session];
           state.point = std::max(state.point, *point);
           state.ids.push_back(id);
-          m_observer.on_confirmed(id, *point, count_holders(id), m_now);
+          m_observer.on_confirmed(id, *point, count_holders(id), now());
         });
       });
     });
@@ -204,25 +191,25 @@
   /// Sends a read of `session` through `owner`, if that finds a member for it.
   void read(std::size_t owner, std::size_t session, Freshness freshness, Duration max_age) {
     const ReadRequirement requirement{{m_sessions[session].point, false}, freshness, max_age};
-    const auto choice = choose_reader(group(owner), requirement, {}, {}, false, m_now);
+    const auto choice = choose_reader(group(owner), requirement, {}, {}, false, now());
     if (!choice.has_value() || is_paused(owner)) {
       return;
     }
     const std::size_t target = member_index(choice->member);
     const std::vector<std::uint64_t> session_ids = m_sessions[session].ids;
-    const TimePoint started = m_now;
+    const TimePoint started = now();
     const bool primary = choice->primary;
     to_member(owner, target, Duration(0), [=, this] {
       const MemberStatus before = member(target).status();
       const std::vector<std::uint64_t> visible = member(target).visible();
       to_owner(target, owner, [=, this] {
-        group(owner).on_operation_report(MemberId("m" + std::to_string(target)), before, started, m_now);
+        group(owner).on_operation_report(MemberId("m" + std::to_string(target)), before, started, now());
         pump(owner);
-        if (!read_is_acceptable(group(owner), requirement, before, m_now)) {
+        if (!read_is_acceptable(group(owner), requirement, before, now())) {
           return;
         }
         const auto accept = [=, this] {
-          m_observer.on_read(requirement, session_ids, visible, primary, started, m_now);
+          m_observer.on_read(requirement, session_ids, visible, primary, started, now());
         };
         if (freshness == Freshness::kFresh) {
           confirm(owner, {before.raised_term, before.received}, accept);
@@ -266,7 +253,7 @@
   }
 
   bool is_cut(std::size_t from, std::size_t to) const { return m_cuts.contains({from, to}); }
-  bool is_paused(std::size_t owner) const { return m_now < m_nodes[owner].paused_until; }
+  bool is_paused(std::size_t owner) const { return now() < m_nodes[owner].paused_until; }
   double random() { return std::uniform_real_distribution<double>(0, 1)(m_random); }
 
   Duration link_delay(std::size_t from, std::size_t to) {
@@ -274,7 +261,7 @@
     return base + Duration(static_cast<Duration::rep>(random() * 200));
   }
 
-  void at(TimePoint time, std::function<void()> event) { m_events.emplace(time, std::move(event)); }
+  void at(TimePoint time, std::function<void()> event) { m_events.at(time, std::move(event)); }
 
   // Delivers to an owner, after its pause if it is paused, unless it was restarted meanwhile.
   void deliver(std::size_t owner, std::uint64_t incarnation, const std::function<void()>& event) {
@@ -293,7 +280,7 @@
     if (is_cut(owner, target)) {
       return;
     }
-    at(m_now + extra + link_delay(owner, target), [=, this] {
+    at(now() + extra + link_delay(owner, target), [=, this] {
       if (m_nodes[target].up && !is_cut(owner, target)) {
         event();
       }
@@ -305,7 +292,7 @@
       return;
     }
     const std::uint64_t incarnation = m_nodes[owner].incarnation;
-    at(m_now + link_delay(member, owner), [=, this] { deliver(owner, incarnation, event); });
+    at(now() + link_delay(member, owner), [=, this] { deliver(owner, incarnation, event); });
   }
 
   // Answers on control connections may be lost, duplicated or late.
@@ -317,11 +304,11 @@
       to_owner(member, owner, event);
     }
     const Duration late(random() < m_options.late ? static_cast<Duration::rep>(random() * 2'000'000) : 0);
-    at(m_now + late, [=, this] { to_owner(member, owner, event); });
+    at(now() + late, [=, this] { to_owner(member, owner, event); });
   }
 
   void confirm(std::size_t owner, const LogPoint& point, const std::function<void()>& confirmed) {
-    const ConfirmationId id = group(owner).confirm(point, m_now + m_options.write_deadline, m_now);
+    const ConfirmationId id = group(owner).confirm(point, now() + m_options.write_deadline, now());
     m_nodes[owner].confirmations[id] = confirmed;
   }
 
@@ -335,9 +322,9 @@
   void schedule_tick(std::size_t owner) {
     const std::uint64_t tick = ++m_nodes[owner].tick;
     const std::uint64_t incarnation = m_nodes[owner].incarnation;
-    at(std::max(m_now, group(owner).next_wakeup()), [=, this] {
+    at(std::max(now(), group(owner).next_wakeup()), [=, this] {
       if (m_nodes[owner].tick == tick) {
-        deliver(owner, incarnation, [=, this] { group(owner).on_tick(random(), m_now); });
+        deliver(owner, incarnation, [=, this] { group(owner).on_tick(random(), now()); });
       }
     });
   }
@@ -352,13 +339,13 @@
     }
     if (!m_nodes[target].up) {
       // The machine is there and rejects the connection.
-      to_owner(target, owner, [=, this] { group(owner).on_probe_failed(action.member, action.probe, m_now); });
+      to_owner(target, owner, [=, this] { group(owner).on_probe_failed(action.member, action.probe, now()); });
       return;
     }
     const Duration connect = action.new_connection ? m_options.connect_cost : Duration(0);
     to_member(owner, target, connect, [=, this] {
       const MemberStatus status = member(target).status();
-      answer(target, owner, [=, this] { group(owner).on_probe_report(action.member, action.probe, status, m_now); });
+      answer(target, owner, [=, this] { group(owner).on_probe_report(action.member, action.probe, status, now()); });
     });
   }
 
@@ -366,7 +353,7 @@
     const std::size_t target = member_index(action.member);
     to_member(owner, target, Duration(0), [=, this] {
       const GrantResult result = member(target).raise_term(action.term, owner_id(owner));
-      answer(target, owner, [=, this] { group(owner).on_raise_result(action.member, action.term, result, m_now); });
+      answer(target, owner, [=, this] { group(owner).on_raise_result(action.member, action.term, result, now()); });
     });
   }
 
@@ -381,7 +368,7 @@
       if (std::exchange(m_lose_promote_answer, false)) {
         return;
       }
-      answer(target, owner, [=, this] { group(owner).on_promote_result(action.member, action.term, result, m_now); });
+      answer(target, owner, [=, this] { group(owner).on_promote_result(action.member, action.term, result, now()); });
     });
   }
 
@@ -389,12 +376,12 @@
     const std::size_t target = member_index(action.member);
     to_member(owner, target, Duration(0), [=, this] {
       const GrantResult result = member(target).follow(action.term, member_index(action.primary));
-      answer(target, owner, [=, this] { group(owner).on_follow_result(action.member, action.term, result, m_now); });
+      answer(target, owner, [=, this] { group(owner).on_follow_result(action.member, action.term, result, now()); });
     });
   }
 
   void perform(std::size_t owner, const AskSuspicion& action) {
-    at(m_now + m_options.latency, [=, this] {
+    at(now() + m_options.latency, [=, this] {
       std::size_t answered = 0;
       std::size_t suspecting = 0;
       Term highest;
@@ -403,16 +390,16 @@
           continue;
         }
         ++answered;
-        suspecting += group(other).suspects(action.member, action.term, m_now) ? 1 : 0;
+        suspecting += group(other).suspects(action.member, action.term, now()) ? 1 : 0;
         highest = std::max(highest, group(other).highest_known_term());
       }
       // Calls that nobody answers end with their timeout.
       const bool all = answered + 1 == m_nodes.size();
       const Duration wait = all ? m_options.latency : Duration(std::chrono::milliseconds(150));
       const std::uint64_t incarnation = m_nodes[owner].incarnation;
-      at(m_now + wait, [=, this] {
+      at(now() + wait, [=, this] {
         deliver(owner, incarnation,
-                [=, this] { group(owner).on_suspicion_replies(action.term, answered, suspecting, highest, m_now); });
+                [=, this] { group(owner).on_suspicion_replies(action.term, answered, suspecting, highest, now()); });
       });
     });
   }
@@ -428,14 +415,14 @@
 
   // Sends the replica what it lacks, every replication interval.
   void replicate(std::size_t index) {
-    at(m_now + m_options.replication_interval, [=, this] { replicate(index); });
+    at(now() + m_options.replication_interval, [=, this] { replicate(index); });
     const std::optional<std::size_t> source = member(index).source();
     const bool connected = source.has_value() && m_nodes[index].up && m_nodes[*source].up && !is_cut(*source, index);
     const std::optional<LogSegment> segment = connected ? member(*source).segment_for(member(index)) : std::nullopt;
     if (!segment.has_value()) {
       return;
     }
-    at(m_now + link_delay(*source, index) + m_nodes[index].replication_delay, [=, this] {
+    at(now() + link_delay(*source, index) + m_nodes[index].replication_delay, [=, this] {
       if (m_nodes[index].up && !is_cut(*source, index)) {
         member(index).receive(*segment);
       }
@@ -448,8 +435,7 @@
   std::shared_ptr<const StateChart> m_chart;
   GroupConfiguration m_group;
   std::vector<Node> m_nodes;
-  TimePoint m_now{std::chrono::hours(1)};
-  std::multimap<TimePoint, std::function<void()>> m_events;
+  EventQueue m_events;
   std::set<std::pair<std::size_t, std::size_t>> m_cuts;
   std::set<std::pair<std::size_t, std::size_t>> m_silent;
   std::map<std::size_t, Session> m_sessions;
--- a/misc/measure/host_world.h
+++ b/misc/measure/host_world.h
@@ -16,7 +16,9 @@
 
 #include "core/config/configuration_json.h"
 #include "core/overloaded.h"
+#include "misc/measure/event_queue.h"
 #include "misc/measure/member_model.h"
+#include "misc/measure/member_statements.h"
 #include "misc/measure/store_model.h"
 #include "servers/host/entry_host.h"
 
@@ -44,13 +46,6 @@
 /// What became of a caller's request.
 using CallerOutcome = tl::expected<CallerAnswer, CallerRefusal>;
 
-/// What a record of a member's log changes: appends `value` to the text under `key`. A void record changes nothing.
-struct WrittenRecord {
-  RequestId request;
-  bool is_void = false;
-  std::vector<std::pair<std::string, std::string>> appends;
-};
-
 /// Entry hosts in several failure domains before one group with members in the first of them, under virtual time.
 class HostWorld {
  public:
@@ -68,7 +63,7 @@
     }
   }
 
-  TimePoint now() const { return m_now; }
+  TimePoint now() const { return m_events.now(); }
   std::size_t hosts() const { return m_nodes.size(); }
   EntryHost& host(std::size_t index) { return *m_nodes[index]->host; }
   const Counters& counters(std::size_t index) const { return m_nodes[index]->counters; }
@@ -81,7 +76,7 @@
     const std::size_t number = m_operator_answers.size();
     m_operator_answers.emplace_back();
     deliver(host_index, m_nodes[host_index]->life, [this, host_index, number, text = std::move(text), check_only] {
-      m_nodes[host_index]->host->on_operator_command(OperatorRequestId(number + 1), text, check_only, m_now);
+      m_nodes[host_index]->host->on_operator_command(OperatorRequestId(number + 1), text, check_only, now());
     });
     return number;
   }
@@ -100,29 +95,15 @@
     const auto watches = std::exchange(m_watches, {});
     for (const auto& [key, life] : watches) {
       deliver(key.first, life,
-              [this, key = key] { m_nodes[key.first]->host->on_watch_failed(key.second, StoreError{}, m_now); });
+              [this, key = key] { m_nodes[key.first]->host->on_watch_failed(key.second, StoreError{}, now()); });
     }
   }
 
   /// Runs all events of the next `duration`.
-  void run_for(Duration duration) {
-    const TimePoint end = m_now + duration;
-    while (!m_events.empty() && m_events.begin()->first <= end) {
-      auto event = m_events.extract(m_events.begin());
-      m_now = event.key();
-      event.mapped()();
-    }
-    m_now = end;
-  }
+  void run_for(Duration duration) { m_events.run_for(duration); }
 
   /// Runs until `done` or for at most `limit`; returns whether `done` became true.
-  bool run_until(const std::function<bool()>& done, Duration limit) {
-    const TimePoint end = m_now + limit;
-    while (!done() && m_now < end) {
-      run_for(std::chrono::milliseconds(1));
-    }
-    return done();
-  }
+  bool run_until(const std::function<bool()>& done, Duration limit) { return m_events.run_until(done, limit); }
 
   /// Runs until a write through host 0 succeeds.
   void wait_until_ready() {
@@ -158,7 +139,7 @@
     m_outcomes.emplace_back();
     Node& node = *m_nodes[host_index];
     deliver(host_index, node.life, [this, &node, number, request = std::move(request)] {
-      node.host->on_caller_request(CallerRequestId(number + 1), request, m_now);
+      node.host->on_caller_request(CallerRequestId(number + 1), request, now());
     });
     return number;
   }
@@ -187,21 +168,21 @@
     settings.random_seed = m_random();
     settings.stop_announcement = std::chrono::milliseconds(200);
     node.host = std::make_unique<EntryHost>(settings, HostPorts{node, node, node, node, node, node, node},
-                                            load_host_charts(CompiledChartSource()).value(), node.counters, m_now);
+                                            load_host_charts(CompiledChartSource()).value(), node.counters, now());
     for (std::size_t other = 0; other < m_options.domains * m_options.hosts_per_domain; ++other) {
       if (other != index) {
-        node.host->add_known_host(record_of(other), m_now);
+        node.host->add_known_host(record_of(other), now());
       }
     }
     if (m_options.configure_hosts) {
-      node.host->adopt_configuration(m_configuration, "test", m_now);
+      node.host->adopt_configuration(m_configuration, "test", now());
     }
     schedule_tick(index);
   }
 
   /// Stops a host for `duration`. What arrives meanwhile is delivered afterwards.
   void pause_host(std::size_t index, Duration duration) {
-    m_nodes[index]->paused_until = std::max(m_nodes[index]->paused_until, m_now + duration);
+    m_nodes[index]->paused_until = std::max(m_nodes[index]->paused_until, now() + duration);
   }
 
   /// Ends or starts a member. Its log survives.
@@ -251,11 +232,7 @@
 
   /// Returns the text under `key` in the log of a member, including records not yet replayed.
   std::string stored(std::size_t member_index, const std::string& key) const {
-    std::vector<std::uint64_t> ids;
-    for (const Record& record : m_members[member_index].model.log()) {
-      ids.push_back(record.id);
-    }
-    return value_of(ids, key);
+    return m_statements.stored(m_members[member_index].model, key);
   }
 
  private:
@@ -271,8 +248,7 @@
     std::size_t member = 0;
     bool open = false;
     bool silent = false;
-    std::optional<WrittenRecord> transaction;
-    Term transaction_term;
+    OpenWrites transaction;
   };
 
   /// One host with its outside.
@@ -373,7 +349,7 @@
     return configuration;
   }
 
-  void at(TimePoint time, std::function<void()> event) { m_events.emplace(time, std::move(event)); }
+  void at(TimePoint time, std::function<void()> event) { m_events.at(time, std::move(event)); }
 
   // Delivers to a host, after its pause if it is paused, unless that life of it has ended.
   void deliver(std::size_t index, std::uint64_t life, const std::function<void()>& event) {
@@ -381,7 +357,7 @@
     if (node.life != life || !node.alive) {
       return;
     }
-    if (m_now < node.paused_until) {
+    if (now() < node.paused_until) {
       at(node.paused_until, [=, this] { deliver(index, life, event); });
       return;
     }
@@ -393,10 +369,10 @@
     Node& node = *m_nodes[index];
     const std::uint64_t tick = ++node.tick;
     const std::uint64_t life = node.life;
-    at(std::max(m_now, node.host->next_wakeup()), [=, this] {
+    at(std::max(now(), node.host->next_wakeup()), [=, this] {
       if (m_nodes[index]->tick == tick) {
         check_progress(index);
-        deliver(index, life, [=, this] { m_nodes[index]->host->on_tick(m_now); });
+        deliver(index, life, [=, this] { m_nodes[index]->host->on_tick(now()); });
       }
     });
   }
@@ -405,8 +381,8 @@
   void check_progress(std::size_t index) {
     constexpr int kMaxTicksAtOnce = 1000;
     Node& node = *m_nodes[index];
-    node.ticks_now = node.last_tick == m_now ? node.ticks_now + 1 : 0;
-    node.last_tick = m_now;
+    node.ticks_now = node.last_tick == now() ? node.ticks_now + 1 : 0;
+    node.last_tick = now();
     if (node.ticks_now > kMaxTicksAtOnce) {
       throw std::runtime_error("host " + std::to_string(index) + " wakes up again and again without progress");
     }
@@ -423,8 +399,8 @@
       const bool notify = entry->second.open && !is_cut(member_index, domain_of_host(host_index));
       entry = m_connections.erase(entry);
       if (notify) {
-        at(m_now + link_delay(member_index, domain_of_host(host_index)), [=, this, host_index = host_index, id = id] {
-          deliver(host_index, life, [=, this] { m_nodes[host_index]->host->on_upstream_closed(id, m_now); });
+        at(now() + link_delay(member_index, domain_of_host(host_index)), [=, this, host_index = host_index, id = id] {
+          deliver(host_index, life, [=, this] { m_nodes[host_index]->host->on_upstream_closed(id, now()); });
         });
       }
     }
@@ -434,11 +410,11 @@
     const std::size_t member_index = upstream.port - 2000U;
     const std::size_t domain = domain_of_host(host_index);
     const std::uint64_t life = m_nodes[host_index]->life;
-    m_connections[{host_index, id}] = Connection{host_index, life, member_index, false, false, std::nullopt, Term()};
+    m_connections[{host_index, id}] = Connection{host_index, life, member_index, false, false, OpenWrites()};
     if (is_cut(domain, member_index)) {
       return;
     }
-    at(m_now + m_options.connect_cost + link_delay(domain, member_index), [=, this] {
+    at(now() + m_options.connect_cost + link_delay(domain, member_index), [=, this] {
       const auto found = m_connections.find({host_index, id});
       if (found == m_connections.end() || is_cut(domain, member_index)) {
         return;
@@ -458,7 +434,7 @@
       } else {
         found->second.open = true;
       }
-      deliver(host_index, life, [=, this] { m_nodes[host_index]->host->on_upstream_opened(id, result, m_now); });
+      deliver(host_index, life, [=, this] { m_nodes[host_index]->host->on_upstream_opened(id, result, now()); });
     });
   }
 
@@ -476,7 +452,7 @@
     const bool is_statement =
         std::holds_alternative<RunStatements>(details) || std::holds_alternative<RunInTransaction>(details);
     const Duration service = is_statement ? m_options.service_time : Duration(50);
-    at(m_now + link_delay(domain, member_index) + service, [=, this, details = std::move(details)] {
+    at(now() + link_delay(domain, member_index) + service, [=, this, details = std::move(details)] {
       if (!m_members[member_index].up || is_cut(domain, member_index)) {
         return;
       }
@@ -484,179 +460,48 @@
       Connection gone;
       const auto connection = m_connections.find({host_index, id});
       Connection& state = connection == m_connections.end() ? gone : connection->second;
-      const tl::expected<UpstreamResult, UpstreamError> result = carry_out(member_index, state, details);
+      const tl::expected<UpstreamResult, UpstreamError> result =
+          m_statements.carry_out(m_members[member_index].model, state.transaction, details);
       if (is_cut(member_index, domain) || state.silent) {
         return;
       }
-      at(m_now + link_delay(member_index, domain), [=, this] {
+      at(now() + link_delay(member_index, domain), [=, this] {
         if (!m_connections.contains({host_index, id})) {
           return;
         }
         deliver(host_index, life, [=, this] {
           if (m_connections.contains({host_index, id})) {
-            m_nodes[host_index]->host->on_upstream_completed(id, operation, result, m_now);
+            m_nodes[host_index]->host->on_upstream_completed(id, operation, result, now());
           }
         });
       });
     });
   }
 
-  static tl::unexpected<UpstreamError> not_primary() {
-    UpstreamError error;
-    error.kind = UpstreamErrorKind::kNotPrimaryInTerm;
-    error.may_have_run = false;
-    return tl::unexpected(error);
-  }
-
-  tl::expected<UpstreamResult, UpstreamError> carry_out(std::size_t member_index, Connection& connection,
-                                                        const UpstreamOperation& operation) {
-    using Result = tl::expected<UpstreamResult, UpstreamError>;
-    MemberModel& model = m_members[member_index].model;
-    return std::visit(
-        Overloaded{
-            [&](const ReportStatus&) -> Result { return StatusResult{model.status()}; },
-            [&](const RaiseTerm& raise) -> Result { return model.raise_term(raise.term, raise.candidate); },
-            [&](const Promote& promote) -> Result { return model.promote(promote.term, promote.candidate); },
-            [&](const Follow& follow) -> Result { return model.follow(follow.term, follow.primary.port - 2000U); },
-            [&](const RunStatements& run) -> Result {
-              return run.read_only ? read(model, run.statements)
-                                   : write(model, run.term, {run.request_id, false, appends_of(run.statements)});
-            },
-            [&](const SettleRequest& settle) -> Result { return this->settle(model, settle); },
-            [&](const BeginTransaction& begin) -> Result {
-              StatementsResult result;
-              result.already_recorded = find_record(model, begin.request_id) != nullptr;
-              if (!model.is_primary() || model.raised_term() != begin.term) {
-                return not_primary();
-              }
-              connection.transaction = WrittenRecord{begin.request_id, false, {}};
-              connection.transaction_term = begin.term;
-              return result;
-            },
-            [&](const RunInTransaction& run) -> Result {
-              const auto appends = appends_of(run.statements);
-              if (connection.transaction.has_value()) {
-                connection.transaction->appends.insert(connection.transaction->appends.end(), appends.begin(),
-                                                       appends.end());
-              }
-              return read(model, run.statements);
-            },
-            [&](const CommitTransaction&) -> Result {
-              if (!connection.transaction.has_value()) {
-                return not_primary();
-              }
-              return write(model, connection.transaction_term, *std::exchange(connection.transaction, std::nullopt));
-            },
-            [&](const RollbackTransaction&) -> Result {
-              connection.transaction.reset();
-              return StatementsResult{};
-            },
-        },
-        operation);
-  }
-
-  static std::vector<std::pair<std::string, std::string>> appends_of(const std::vector<Statement>& statements) {
-    std::vector<std::pair<std::string, std::string>> appends;
-    for (const Statement& statement : statements) {
-      if (statement.sql == "append") {
-        appends.emplace_back(statement.parameters.at(0).value(), statement.parameters.at(1).value());
-      }
-    }
-    return appends;
-  }
-
-  const WrittenRecord* find_record(const MemberModel& model, const RequestId& request) const {
-    for (const Record& record : model.log()) {
-      const auto written = m_records.find(record.id);
-      if (written != m_records.end() && written->second.request == request) {
-        return &written->second;
-      }
-    }
-    return nullptr;
-  }
-
-  std::string value_of(const std::vector<std::uint64_t>& ids, const std::string& key) const {
-    std::string value;
-    for (const std::uint64_t id : ids) {
-      const auto written = m_records.find(id);
-      if (written == m_records.end()) {
-        continue;
-      }
-      for (const auto& [written_key, appended] : written->second.appends) {
-        value += written_key == key ? appended : "";
-      }
-    }
-    return value;
-  }
-
-  tl::expected<UpstreamResult, UpstreamError> read(const MemberModel& model, const std::vector<Statement>& statements) {
-    StatementsResult result;
-    result.before = model.status();
-    for (const Statement& statement : statements) {
-      if (statement.sql == "read") {
-        const std::string value = value_of(model.visible(), statement.parameters.at(0).value());
-        result.results.push_back({{"value"}, {{value}}, 0});
-      }
-    }
-    result.after = result.before;
-    return result;
-  }
-
-  tl::expected<UpstreamResult, UpstreamError> write(MemberModel& model, Term term, const WrittenRecord& record) {
-    StatementsResult result;
-    result.before = model.status();
-    if (!model.is_primary() || model.raised_term() != term) {
-      return not_primary();
-    }
-    if (find_record(model, record.request) != nullptr) {
-      result.already_recorded = true;
-    } else {
-      const std::uint64_t id = ++m_last_record;
-      m_records.emplace(id, record);
-      model.write(term, id);
-    }
-    result.after = model.status();
-    return result;
-  }
-
-  tl::expected<UpstreamResult, UpstreamError> settle(MemberModel& model, const SettleRequest& request) {
-    if (!model.is_primary() || model.raised_term() != request.term) {
-      return not_primary();
-    }
-    SettleResult result;
-    if (const WrittenRecord* record = find_record(model, request.request_id)) {
-      result.ran = !record->is_void;
-    } else {
-      write(model, request.term, {request.request_id, true, {}});
-    }
-    result.after = model.status();
-    return result;
-  }
-
   void read_store(std::size_t index, StoreCallId call) {
     const std::uint64_t life = m_nodes[index]->life;
-    at(m_now + m_store.delay, [=, this] {
+    at(now() + m_store.delay, [=, this] {
       const auto outcome = m_store.read(m_random);
-      at(m_now + m_store.delay,
-         [=, this] { deliver(index, life, [=, this] { m_nodes[index]->host->on_store_read(call, outcome, m_now); }); });
+      at(now() + m_store.delay,
+         [=, this] { deliver(index, life, [=, this] { m_nodes[index]->host->on_store_read(call, outcome, now()); }); });
     });
   }
 
   void swap_store(std::size_t index, StoreCallId call, StoreRevision expected, const std::string& value) {
     const std::uint64_t life = m_nodes[index]->life;
-    at(m_now + m_store.delay, [=, this] {
+    at(now() + m_store.delay, [=, this] {
       const auto outcome = m_store.swap(expected, value, m_random);
-      at(m_now + m_store.delay, [=, this] {
-        deliver(index, life, [=, this] { m_nodes[index]->host->on_store_swapped(call, outcome, m_now); });
+      at(now() + m_store.delay, [=, this] {
+        deliver(index, life, [=, this] { m_nodes[index]->host->on_store_swapped(call, outcome, now()); });
       });
     });
   }
 
   void report_change(const StoreValue& value) {
     for (const auto& [key, life] : m_watches) {
-      at(m_now + m_store.delay, [=, this, key = key, life = life] {
+      at(now() + m_store.delay, [=, this, key = key, life = life] {
         if (m_watches.contains(key)) {
-          deliver(key.first, life, [=, this] { m_nodes[key.first]->host->on_store_changed(key.second, value, m_now); });
+          deliver(key.first, life, [=, this] { m_nodes[key.first]->host->on_store_changed(key.second, value, now()); });
         }
       });
     }
@@ -667,14 +512,14 @@
     const std::uint64_t life = m_nodes[caller]->life;
     const std::size_t from = domain_of_host(caller);
     const std::size_t to = domain_of_host(target);
-    at(m_now + timeout, [=, this] {
+    at(now() + timeout, [=, this] {
       finish_call(caller, life, id, tl::unexpected(PeerError{PeerErrorKind::kTimeout, true, ""}));
     });
     if (is_cut(from, to)) {
       return;
     }
     m_pending_calls.insert({caller, id});
-    at(m_now + link_delay(from, to), [=, this, request = std::move(request)] {
+    at(now() + link_delay(from, to), [=, this, request = std::move(request)] {
       if (is_cut(from, to)) {
         return;
       }
@@ -685,7 +530,7 @@
       const PeerCallId incoming(++m_last_incoming);
       m_incoming[incoming] = {target, caller, life, id};
       deliver(target, m_nodes[target]->life,
-              [=, this] { m_nodes[target]->host->on_peer_request(incoming, request, m_now); });
+              [=, this] { m_nodes[target]->host->on_peer_request(incoming, request, now()); });
     });
   }
 
@@ -701,7 +546,7 @@
     if (is_cut(from, to)) {
       return;
     }
-    at(m_now + link_delay(from, to),
+    at(now() + link_delay(from, to),
        [=, this, response = std::move(response)] { finish_call(call.caller, call.life, call.id, response); });
   }
 
@@ -709,7 +554,7 @@
   void fail_calls_to(std::size_t target) {
     for (const auto& [incoming, call] : m_incoming) {
       if (call.target == target && !is_cut(domain_of_host(target), domain_of_host(call.caller))) {
-        at(m_now + m_options.latency, [=, this, call = call] {
+        at(now() + m_options.latency, [=, this, call = call] {
           finish_call(call.caller, call.life, call.id, tl::unexpected(PeerError{PeerErrorKind::kLost, true, ""}));
         });
       }
@@ -723,12 +568,12 @@
     if (m_pending_calls.erase({caller, id}) == 0 && !timed_out) {
       return;
     }
-    deliver(caller, life, [=, this] { m_nodes[caller]->host->on_peer_answered(id, outcome, m_now); });
+    deliver(caller, life, [=, this] { m_nodes[caller]->host->on_peer_answered(id, outcome, now()); });
   }
 
   // Sends the replica what it lacks, every replication interval.
   void replicate(std::size_t index) {
-    at(m_now + m_options.replication_interval, [=, this] { replicate(index); });
+    at(now() + m_options.replication_interval, [=, this] { replicate(index); });
     const std::optional<std::size_t> source = m_members[index].model.source();
     const bool connected =
         source.has_value() && m_members[index].up && m_members[*source].up && !is_cut(*source, index);
@@ -737,7 +582,7 @@
     if (!segment.has_value()) {
       return;
     }
-    at(m_now + link_delay(*source, index) + m_members[index].replication_delay, [=, this] {
+    at(now() + link_delay(*source, index) + m_members[index].replication_delay, [=, this] {
       if (m_members[index].up && !is_cut(*source, index)) {
         m_members[index].model.receive(*segment);
       }
@@ -751,12 +596,10 @@
   std::vector<std::optional<OperatorAnswer>> m_operator_answers;
   Configuration m_configuration;
   std::vector<Member> m_members;
-  TimePoint m_now{std::chrono::hours(1)};
-  std::multimap<TimePoint, std::function<void()>> m_events;
+  EventQueue m_events;
   std::set<std::pair<std::size_t, std::size_t>> m_cuts;
   std::map<ConnectionKey, Connection> m_connections;
-  std::map<std::uint64_t, WrittenRecord> m_records;
-  std::uint64_t m_last_record = 0;
+  MemberStatements m_statements;
   std::vector<std::optional<CallerOutcome>> m_outcomes;
   std::set<std::pair<std::size_t, PeerCallId>> m_pending_calls;
   std::map<PeerCallId, PeerCall> m_incoming;
--- /dev/null
+++ b/misc/measure/member_statements.h
@@ -0,0 +1,181 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "core/overloaded.h"
+#include "core/ports/upstream_port.h"
+#include "misc/measure/member_model.h"
+
+// Header-only, because both the measurement programs and the tests use it.
+namespace teaselrudder::model {
+
+/// What a record of a member's log changes: appends `value` to the text under `key`. A void record changes nothing.
+struct WrittenRecord {
+  RequestId request;
+  bool is_void = false;
+  std::vector<std::pair<std::string, std::string>> appends;
+};
+
+/// The writes of a transaction that is open on a connection, and the term in which it began.
+struct OpenWrites {
+  std::optional<WrittenRecord> writes;
+  Term term;
+};
+
+/// Carries upstream operations out on members in memory. Two statements are known: `append` adds its second parameter
+/// to the text under the first, and `read` returns the text under its parameter.
+class MemberStatements {
+ public:
+  /// Carries `operation` out on a connection to the member `model`.
+  tl::expected<UpstreamResult, UpstreamError> carry_out(MemberModel& model, OpenWrites& open,
+                                                        const UpstreamOperation& operation) {
+    using Result = tl::expected<UpstreamResult, UpstreamError>;
+    return std::visit(
+        Overloaded{
+            [&](const ReportStatus&) -> Result { return StatusResult{model.status()}; },
+            [&](const RaiseTerm& raise) -> Result { return model.raise_term(raise.term, raise.candidate); },
+            [&](const Promote& promote) -> Result { return model.promote(promote.term, promote.candidate); },
+            [&](const Follow& follow) -> Result { return model.follow(follow.term, follow.primary.port - 2000U); },
+            [&](const RunStatements& run) -> Result {
+              return run.read_only ? read(model, run.statements)
+                                   : write(model, run.term, {run.request_id, false, appends_of(run.statements)});
+            },
+            [&](const SettleRequest& settle) -> Result { return this->settle(model, settle); },
+            [&](const BeginTransaction& begin) -> Result {
+              StatementsResult result;
+              result.already_recorded = find_record(model, begin.request_id) != nullptr;
+              if (!model.is_primary() || model.raised_term() != begin.term) {
+                return not_primary();
+              }
+              open.writes = WrittenRecord{begin.request_id, false, {}};
+              open.term = begin.term;
+              return result;
+            },
+            [&](const RunInTransaction& run) -> Result {
+              const auto appends = appends_of(run.statements);
+              if (open.writes.has_value()) {
+                open.writes->appends.insert(open.writes->appends.end(), appends.begin(), appends.end());
+              }
+              return read(model, run.statements);
+            },
+            [&](const CommitTransaction&) -> Result {
+              if (!open.writes.has_value()) {
+                return not_primary();
+              }
+              return write(model, open.term, *std::exchange(open.writes, std::nullopt));
+            },
+            [&](const RollbackTransaction&) -> Result {
+              open.writes.reset();
+              return StatementsResult{};
+            },
+        },
+        operation);
+  }
+
+  /// Returns the text under `key` in the log of a member, including records not yet replayed.
+  std::string stored(const MemberModel& model, const std::string& key) const {
+    std::vector<std::uint64_t> ids;
+    for (const Record& record : model.log()) {
+      ids.push_back(record.id);
+    }
+    return value_of(ids, key);
+  }
+
+ private:
+  static tl::unexpected<UpstreamError> not_primary() {
+    UpstreamError error;
+    error.kind = UpstreamErrorKind::kNotPrimaryInTerm;
+    error.may_have_run = false;
+    return tl::unexpected(error);
+  }
+
+  static std::vector<std::pair<std::string, std::string>> appends_of(const std::vector<Statement>& statements) {
+    std::vector<std::pair<std::string, std::string>> appends;
+    for (const Statement& statement : statements) {
+      if (statement.sql == "append") {
+        appends.emplace_back(statement.parameters.at(0).value(), statement.parameters.at(1).value());
+      }
+    }
+    return appends;
+  }
+
+  const WrittenRecord* find_record(const MemberModel& model, const RequestId& request) const {
+    for (const Record& record : model.log()) {
+      const auto written = m_records.find(record.id);
+      if (written != m_records.end() && written->second.request == request) {
+        return &written->second;
+      }
+    }
+    return nullptr;
+  }
+
+  std::string value_of(const std::vector<std::uint64_t>& ids, const std::string& key) const {
+    std::string value;
+    for (const std::uint64_t id : ids) {
+      const auto written = m_records.find(id);
+      if (written == m_records.end()) {
+        continue;
+      }
+      for (const auto& [written_key, appended] : written->second.appends) {
+        value += written_key == key ? appended : "";
+      }
+    }
+    return value;
+  }
+
+  tl::expected<UpstreamResult, UpstreamError> read(const MemberModel& model, const std::vector<Statement>& statements) {
+    StatementsResult result;
+    result.before = model.status();
+    for (const Statement& statement : statements) {
+      if (statement.sql == "read") {
+        const std::string value = value_of(model.visible(), statement.parameters.at(0).value());
+        result.results.push_back({{"value"}, {{value}}, 0});
+      }
+    }
+    result.after = result.before;
+    return result;
+  }
+
+  tl::expected<UpstreamResult, UpstreamError> write(MemberModel& model, Term term, const WrittenRecord& record) {
+    StatementsResult result;
+    result.before = model.status();
+    if (!model.is_primary() || model.raised_term() != term) {
+      return not_primary();
+    }
+    if (find_record(model, record.request) != nullptr) {
+      result.already_recorded = true;
+    } else {
+      const std::uint64_t id = ++m_last_record;
+      m_records.emplace(id, record);
+      model.write(term, id);
+    }
+    result.after = model.status();
+    return result;
+  }
+
+  tl::expected<UpstreamResult, UpstreamError> settle(MemberModel& model, const SettleRequest& request) {
+    if (!model.is_primary() || model.raised_term() != request.term) {
+      return not_primary();
+    }
+    SettleResult result;
+    if (const WrittenRecord* record = find_record(model, request.request_id)) {
+      result.ran = !record->is_void;
+    } else {
+      write(model, request.term, {request.request_id, true, {}});
+    }
+    result.after = model.status();
+    return result;
+  }
+
+  // The records of all members; a log holds their ids.
+  std::map<std::uint64_t, WrittenRecord> m_records;
+  std::uint64_t m_last_record = 0;
+};
+
+}  // namespace teaselrudder::model
