Read the host table once for each ranking of owners

Cause: owners_of() copied all records of the host table for each group, and owner_of() sorted the working hosts anew. docs/CAPACITY.md measured 9.7 to 11.7 s of processor time for the loss of a failure domain at 610 groups. Figures: not measured again yet. Conclusion: one list of working hosts per failure domain serves all groups until the hosts change.

--- a/servers/host/group_directory.cc
+++ b/servers/host/group_directory.cc
@@ -1,7 +1,6 @@
 #include "servers/host/group_directory.h"
 
 #include <algorithm>
-#include <set>
 
 #include "servers/membership/rendezvous.h"
 
@@ -31,6 +30,12 @@
 
 void GroupDirectory::update_owners(TimePoint now) {
   m_owner_cache.clear();
+  m_working_hosts.clear();
+  for (const HostRecord& record : m_hosts.all_records()) {
+    if (record.state == HostState::kAlive) {
+      m_working_hosts[record.failure_domain].push_back(record.host);
+    }
+  }
   for (const auto& [id, group] : m_groups) {
     const GroupOwnership ownership = ownership_of(group);
     GroupRuntime* runtime = ownership.owner ? open(id, now) : find(id);
@@ -67,19 +72,18 @@
   if (cached != m_owner_cache.end()) {
     return cached->second;
   }
-  const std::vector<HostId> ranked = rank_hosts(m_hosts.working_hosts(domain), group.value() + '/' + domain.value());
-  std::optional<HostId> owner = ranked.empty() ? std::nullopt : std::optional<HostId>(ranked.front());
+  const auto hosts = m_working_hosts.find(domain);
+  std::optional<HostId> owner;
+  if (hosts != m_working_hosts.end()) {
+    owner = rank_hosts(hosts->second, group.value() + '/' + domain.value()).front();
+  }
   m_owner_cache.emplace(key, owner);
   return owner;
 }
 
 std::vector<HostId> GroupDirectory::owners_of(const GroupId& group) const {
-  std::set<FailureDomainId> domains;
-  for (const HostRecord& record : m_hosts.all_records()) {
-    domains.insert(record.failure_domain);
-  }
   std::vector<HostId> owners;
-  for (const FailureDomainId& domain : domains) {
+  for (const auto& [domain, hosts] : m_working_hosts) {
     if (std::optional<HostId> owner = owner_of(group, domain)) {
       owners.push_back(std::move(*owner));
     }
--- a/servers/host/group_directory.h
+++ b/servers/host/group_directory.h
@@ -64,6 +64,8 @@
   std::map<GroupId, TimePoint> m_last_use;
   std::map<std::uint32_t, GroupId> m_prefixes;
   std::uint32_t m_last_prefix = 0;
+  // The working hosts of each failure domain, read from the host table once per change.
+  std::map<FailureDomainId, std::vector<HostId>> m_working_hosts;
   // Owners by (group, failure domain), since each request asks for one; cleared when the hosts change.
   mutable std::map<std::pair<GroupId, FailureDomainId>, std::optional<HostId>> m_owner_cache;
 };
