End transactions whose step nobody waits for any more

Cause: a step that outlasted its deadline left its transaction open while the statement still ran, so the next step met a busy connection; and a caller that left during the beginning of a transaction left its connection taken for good. Both were found by reading. On a tick, deadlines were looked at before outcomes that had come in on the same tick. Owners are ranked at most every 200 ms after changes of the hosts, so that the loss of a failure domain costs one ranking for each interval. Ruled out: waiting for the step beyond its deadline (the caller may repeat it elsewhere meanwhile). Conclusion: a connection with a running step is closed when its request ends.

--- a/servers/host/entry_host.cc
+++ b/servers/host/entry_host.cc
@@ -13,6 +13,9 @@
 namespace {
 
 constexpr Duration kProbeCheckInterval = std::chrono::milliseconds(200);
+// The owners of all groups are ranked anew after a change of the hosts. The loss of a failure domain brings many changes
+// in a row; together they cost one ranking for each interval.
+constexpr Duration kOwnerUpdateInterval = std::chrono::milliseconds(200);
 constexpr Duration kHostListInterval = std::chrono::seconds(5);
 constexpr Duration kConfigurationFetchTimeout = std::chrono::seconds(2);
 
@@ -93,7 +96,14 @@
 }
 
 void EntryHost::on_tick(TimePoint now) {
+  if (m_owners_changed && now >= m_next_owner_update) {
+    m_owners_changed = false;
+    m_next_owner_update = now + kOwnerUpdateInterval;
+    m_groups.update_owners(now);
+  }
   m_groups.on_tick(now);
+  // What ended at a member is delivered before deadlines are looked at, or its request would end twice.
+  settle_events(now);
   m_requests.on_tick(now);
   m_keeper.on_tick(now);
   if (now >= m_next_probe_check) {
@@ -115,6 +125,9 @@
       earliest = std::min(earliest, *due);
     }
   };
+  if (m_owners_changed) {
+    consider(m_next_owner_update);
+  }
   consider(m_groups.next_wakeup());
   consider(m_requests.next_wakeup());
   consider(m_keeper.next_wakeup());
@@ -474,7 +487,7 @@
 }
 
 void EntryHost::hosts_changed(const std::string& cause, TimePoint now) {
-  m_groups.update_owners(now);
+  m_owners_changed = true;
   m_keeper.on_hosts_changed(now);
   m_context.counters.count("host_table_changes");
   note_decision(m_context.settings.self.host.value(), "hosts_working_" + std::to_string(m_hosts.working_hosts().size()),
--- a/servers/host/entry_host.h
+++ b/servers/host/entry_host.h
@@ -168,6 +168,8 @@
   std::uint64_t m_last_request_number = 0;
   TimePoint m_next_probe_check;
   TimePoint m_next_host_list;
+  bool m_owners_changed = false;
+  TimePoint m_next_owner_update;
 };
 
 }  // namespace teaselrudder
--- a/servers/host/member_executor.cc
+++ b/servers/host/member_executor.cc
@@ -62,11 +62,11 @@
   return true;
 }
 
-void MemberExecutor::abandon(WorkId work, TimePoint now) {
+bool MemberExecutor::abandon(WorkId work, TimePoint now) {
   const auto found =
       std::find_if(m_running.begin(), m_running.end(), [work](const auto& entry) { return entry.second.work == work; });
   if (found == m_running.end()) {
-    return;
+    return false;
   }
   const ConnectionId connection = found->first;
   if (found->second.in_transaction) {
@@ -76,6 +76,7 @@
   m_pool.discard(connection);
   m_queue.finish(work, now);
   pump(now);
+  return true;
 }
 
 void MemberExecutor::end_transaction(ConnectionId connection, bool in_doubt, TimePoint now) {
--- a/servers/host/member_executor.h
+++ b/servers/host/member_executor.h
@@ -59,8 +59,8 @@
   /// Removes work that has not started. Returns false if it runs already or ended.
   bool withdraw(WorkId work, TimePoint now);
 
-  /// Closes the connection of running work and frees its slot, without an outcome.
-  void abandon(WorkId work, TimePoint now);
+  /// Closes the connection of running work and frees its slot, without an outcome. Returns false if it does not run.
+  bool abandon(WorkId work, TimePoint now);
 
   /// Returns the connection of a finished transaction to the pool, or closes it if its state is in doubt.
   void end_transaction(ConnectionId connection, bool in_doubt, TimePoint now);
--- a/servers/host/request_service.cc
+++ b/servers/host/request_service.cc
@@ -96,9 +96,8 @@
   }
   Execution& execution = m_executions.at(found->second);
   MemberExecutor* executor = executor_of(execution);
-  if (execution.work.has_value() && executor != nullptr && !executor->withdraw(*execution.work, now)) {
-    // The work runs. A transaction cannot go on without its caller; anything else ends by itself.
-    m_transactions.on_caller_left(execution, now);
+  if (execution.work.has_value() && executor != nullptr) {
+    executor->withdraw(*execution.work, now);
   }
   m_context.counters.count("requests_cancelled");
   execution.chart.fire(RequestEvent::kFinish);
@@ -564,8 +563,8 @@
   m_timers.cancel(execution.id);
   m_origins.erase(execution.origin);
   if (execution.work.has_value()) {
-    // What still runs for nobody keeps its slot until it ends; its result is dropped.
     m_work.erase(*execution.work);
+    abandon_transaction_work(execution, now);
   }
   m_outcomes.leave(execution);
   if (execution.shared.has_value()) {
@@ -574,6 +573,16 @@
   m_transactions.leave(execution, now);
 }
 
+void RequestService::abandon_transaction_work(Execution& execution, TimePoint now) {
+  // Single statements that run for nobody end by themselves and their result is dropped. A connection with a
+  // transaction would stay taken, or carry the next step beside this one.
+  const bool of_transaction = execution.purpose == WorkPurpose::kBegin || execution.transaction.has_value();
+  MemberExecutor* const executor = executor_of(execution);
+  if (of_transaction && executor != nullptr && executor->abandon(*execution.work, now)) {
+    m_transactions.on_step_abandoned(execution);
+  }
+}
+
 Execution* RequestService::find(ExecutionId id) {
   const auto found = m_executions.find(id);
   return found == m_executions.end() ? nullptr : &found->second;
--- a/servers/host/request_service.h
+++ b/servers/host/request_service.h
@@ -91,6 +91,7 @@
   void on_read_ended(Execution& execution, const StatementsResult& result, const WorkEnded& ended, TimePoint now);
   void on_deadline(Execution& execution, TimePoint now);
   void detach(Execution& execution, TimePoint now);
+  void abandon_transaction_work(Execution& execution, TimePoint now);
 
   HostContext& m_context;
   GroupDirectory& m_groups;
--- a/servers/host/transaction_steps.cc
+++ b/servers/host/transaction_steps.cc
@@ -157,15 +157,11 @@
   m_actions.refuse(execution, std::move(refusal), now);
 }
 
-void TransactionSteps::on_caller_left(Execution& execution, TimePoint now) {
-  if (!execution.transaction.has_value()) {
-    return;
+void TransactionSteps::on_step_abandoned(Execution& execution) {
+  if (execution.transaction.has_value()) {
+    m_transactions.remove(*execution.transaction);
+    execution.transaction.reset();
   }
-  if (MemberExecutor* executor = m_actions.executor_of(execution)) {
-    executor->abandon(*execution.work, now);
-  }
-  m_transactions.remove(*execution.transaction);
-  execution.transaction.reset();
 }
 
 void TransactionSteps::leave(Execution& execution, TimePoint now) {
--- a/servers/host/transaction_steps.h
+++ b/servers/host/transaction_steps.h
@@ -21,8 +21,8 @@
   /// The work of a step ended.
   void on_step_ended(Execution& execution, const WorkEnded& ended, TimePoint now);
 
-  /// The caller of a request left while its work was running: a transaction cannot go on without it.
-  void on_caller_left(Execution& execution, TimePoint now);
+  /// The connection of a running step was closed, because nobody waits for the step any more: the transaction is over.
+  void on_step_abandoned(Execution& execution);
 
   /// Makes the transaction of a request that ends ready for its next step.
   void leave(Execution& execution, TimePoint now);
--- a/tests/servers/entry_host_test.cc
+++ b/tests/servers/entry_host_test.cc
@@ -27,6 +27,8 @@
   CPPUNIT_TEST(transaction_continues_through_another_host);
   CPPUNIT_TEST(transaction_of_a_dead_host_leaves_nothing);
   CPPUNIT_TEST(transactions_do_not_mix);
+  CPPUNIT_TEST(step_that_outlasts_its_deadline_ends_the_transaction);
+  CPPUNIT_TEST(callers_that_leave_during_begin_hold_no_connection);
   CPPUNIT_TEST(silent_connections_do_not_stop_reads);
   CPPUNIT_TEST(planned_stop_cuts_off_no_request);
   CPPUNIT_TEST(leaving_upstream_gets_no_new_work);
@@ -184,6 +186,37 @@
     CPPUNIT_ASSERT_EQUAL(std::string("22"), m_world->stored(m_world->primary().value(), "k"));
   }
 
+  // Guards against a second statement on a connection on which the first one still runs.
+  void step_that_outlasts_its_deadline_ends_the_transaction() {
+    const TransactionHandle handle = begin(0, "k", "1");
+    m_world->set_service_time(std::chrono::milliseconds(500));
+    Request slow = step(handle, TransactionStep::kContinue, "k", "2");
+    slow.deadline = std::chrono::milliseconds(100);
+    CPPUNIT_ASSERT(refusal_of(0, slow).ran != Ran::kYes);
+    const Refusal refusal = refusal_of(0, step(handle, TransactionStep::kCommit, "", ""));
+    CPPUNIT_ASSERT_EQUAL(std::string("unknown_transaction"), std::string(to_string(refusal.reason)));
+    m_world->run_for(std::chrono::seconds(2));
+    CPPUNIT_ASSERT_EQUAL(std::string(), m_world->stored(m_world->primary().value(), "k"));
+  }
+
+  // Guards against connections that stay taken by transactions whose callers left before the answer.
+  void callers_that_leave_during_begin_hold_no_connection() {
+    for (int round = 0; round < 40; ++round) {
+      Request request = HostWorld::write_request("k", "a");
+      request.statements.clear();
+      request.step = TransactionStep::kBegin;
+      const std::size_t host = m_world->primary().value() * 2;
+      const std::size_t number = m_world->submit(host, request);
+      m_world->run_for(std::chrono::microseconds(10));
+      m_world->host(host).on_caller_gone(CallerRequestId(number + 1), m_world->now());
+      m_world->run_for(std::chrono::milliseconds(50));
+    }
+    succeed(0, HostWorld::write_request("k", "b"));
+    for (std::size_t host = 0; host < m_world->hosts(); ++host) {
+      CPPUNIT_ASSERT_EQUAL(std::size_t(0), m_world->host(host).requests().open_transactions());
+    }
+  }
+
   // Guards against reads that wait for the end of TCP on connections that went silent.
   void silent_connections_do_not_stop_reads() {
     const CallerAnswer written = succeed(0, HostWorld::write_request("k", "a"));
