--- a/servers/membership/host_table.cc
+++ b/servers/membership/host_table.cc
@@ -1,6 +1,7 @@
 #include "servers/membership/host_table.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace teaselrudder {
 
@@ -45,6 +46,12 @@
 std::vector<ProbeTarget> HostTable::on_tick(TimePoint now) {
   advance_suspicions(now);
   std::vector<ProbeTarget> due;
+  if (const std::optional<HostId> doubted = std::exchange(m_doubted, std::nullopt)) {
+    // In a large failure domain a random choice rarely meets the same host twice.
+    if (const HostRecord* record = find(*doubted)) {
+      due.push_back({record->host, record->peer_endpoint});
+    }
+  }
   if (now >= m_next_probe) {
     m_next_probe = now + m_timings.probe_interval;
     if (std::optional<ProbeTarget> target = pick_probe(true)) {
@@ -85,7 +92,11 @@
   }
   Entry& entry = found->second;
   ++entry.failures;
-  if (entry.failures < kFailuresUntilSuspect || entry.record.state != HostState::kAlive) {
+  if (entry.record.state != HostState::kAlive) {
+    return false;
+  }
+  if (entry.failures < kFailuresUntilSuspect) {
+    m_doubted = host;
     return false;
   }
   entry.record.state = HostState::kSuspect;
--- a/servers/membership/host_table.h
+++ b/servers/membership/host_table.h
@@ -95,6 +95,8 @@
   TimePoint m_next_probe;
   TimePoint m_next_remote_probe;
   HostId m_share_cursor;
+  // A host whose last probe failed for the first time; it is probed again at once.
+  std::optional<HostId> m_doubted;
 };
 
 }  // namespace teaselrudder
--- /dev/null
+++ b/tests/servers/host_table_test.cc
@@ -0,0 +1,94 @@
+#include "servers/membership/host_table.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "servers/membership/rendezvous.h"
+
+namespace teaselrudder {
+
+namespace {
+
+HostRecord record_of(const std::string& name, std::uint64_t incarnation, HostState state) {
+  return {HostId(name), FailureDomainId("d"), {"127.0.0.1", 1}, Incarnation(incarnation), state};
+}
+
+class HostTableTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(HostTableTest);
+  CPPUNIT_TEST(stale_list_revives_nobody);
+  CPPUNIT_TEST(host_contradicts_its_own_death);
+  CPPUNIT_TEST(doubted_host_is_probed_again_at_once);
+  CPPUNIT_TEST(suspect_host_that_answers_works_again);
+  CPPUNIT_TEST(rendezvous_moves_only_the_groups_of_a_lost_host);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Guards against a lagging list that gives new work to a host that is leaving.
+  void stale_list_revives_nobody() {
+    m_table.merge(record_of("b", 1, HostState::kLeaving), m_now);
+    m_table.merge_list({record_of("b", 1, HostState::kAlive)}, m_now);
+    CPPUNIT_ASSERT(m_table.find(HostId("b"))->state == HostState::kLeaving);
+    m_table.merge_list({record_of("b", 2, HostState::kAlive)}, m_now);
+    CPPUNIT_ASSERT(m_table.find(HostId("b"))->state == HostState::kAlive);
+  }
+
+  // Guards against a live host that stays dead for the others after a cut.
+  void host_contradicts_its_own_death() {
+    CPPUNIT_ASSERT(m_table.merge(record_of("a", 1, HostState::kDead), m_now));
+    CPPUNIT_ASSERT(m_table.self().incarnation == Incarnation(2));
+    CPPUNIT_ASSERT(m_table.self().state == HostState::kAlive);
+  }
+
+  // Guards against a dead host that is suspected only after its turn comes up twice by chance.
+  void doubted_host_is_probed_again_at_once() {
+    for (int index = 0; index < 80; ++index) {
+      m_table.merge(record_of("h" + std::to_string(index), 1, HostState::kAlive), m_now);
+    }
+    m_table.on_tick(m_now);
+    CPPUNIT_ASSERT(!m_table.on_failure(HostId("h7"), m_now));
+    m_now += std::chrono::milliseconds(200);
+    const std::vector<ProbeTarget> due = m_table.on_tick(m_now);
+    CPPUNIT_ASSERT(!due.empty() && due.front().host == HostId("h7"));
+    CPPUNIT_ASSERT(m_table.on_failure(HostId("h7"), m_now));
+    CPPUNIT_ASSERT(m_table.find(HostId("h7"))->state == HostState::kSuspect);
+  }
+
+  // Guards against a host that loses its groups for good after two lost answers.
+  void suspect_host_that_answers_works_again() {
+    m_table.merge(record_of("b", 1, HostState::kAlive), m_now);
+    m_table.on_failure(HostId("b"), m_now);
+    CPPUNIT_ASSERT(m_table.on_failure(HostId("b"), m_now));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_table.working_hosts().size());
+    CPPUNIT_ASSERT(m_table.on_answer(record_of("b", 1, HostState::kAlive), m_now));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), m_table.working_hosts().size());
+  }
+
+  // Guards against the loss of one host that moves the queues and connections of all groups.
+  void rendezvous_moves_only_the_groups_of_a_lost_host() {
+    std::vector<HostId> hosts;
+    for (int index = 0; index < 10; ++index) {
+      hosts.push_back(HostId("h" + std::to_string(index)));
+    }
+    const std::vector<HostId> without_last(hosts.begin(), hosts.end() - 1);
+    std::size_t moved = 0;
+    for (int group = 0; group < 1000; ++group) {
+      const std::string key = "g" + std::to_string(group);
+      const HostId owner = rank_hosts(hosts, key).front();
+      if (owner == hosts.back()) {
+        ++moved;
+        continue;
+      }
+      CPPUNIT_ASSERT(rank_hosts(without_last, key).front() == owner);
+    }
+    CPPUNIT_ASSERT(moved > 60 && moved < 140);
+  }
+
+ private:
+  TimePoint m_now{std::chrono::hours(1)};
+  HostTable m_table{record_of("a", 1, HostState::kAlive), HostTableTimings(), 7};
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(HostTableTest);
+
+}  // namespace
+
+}  // namespace teaselrudder
