--- a/servers/host/entry_host.cc
+++ b/servers/host/entry_host.cc
@@ -13,8 +13,8 @@
 namespace {
 
 constexpr Duration kProbeCheckInterval = std::chrono::milliseconds(200);
-// The owners of all groups are ranked anew after a change of the hosts. The loss of a failure domain brings many changes
-// in a row; together they cost one ranking for each interval.
+// The owners of all groups are ranked anew after a change of the hosts. The loss of a failure domain brings many
+// changes in a row; together they cost one ranking for each interval.
 constexpr Duration kOwnerUpdateInterval = std::chrono::milliseconds(200);
 constexpr Duration kHostListInterval = std::chrono::seconds(5);
 constexpr Duration kConfigurationFetchTimeout = std::chrono::seconds(2);
--- a/tests/main/child_process.h
+++ b/tests/main/child_process.h
@@ -28,6 +28,7 @@
     std::vector<std::string> words = {path};
     words.insert(words.end(), arguments.begin(), arguments.end());
     std::vector<char*> argv;
+    argv.reserve(words.size() + 1);
     for (std::string& word : words) {
       argv.push_back(word.data());
     }
