Confirm a write only in the term in which it ran

Cause: the position that is confirmed took its term from the status after the commit. If a new term began in between, a primary of that term could reach the same position with other records, and the write was acknowledged although the new log does not hold it. Found by reading. Ruled out: a status inside the transaction (its position lies before the commit record). A reading transaction whose primary was replaced is now aborted; its commit used to be routed like a new request. Conclusion: a status of another term settles the write instead.

--- a/misc/measure/host_world.h
+++ b/misc/measure/host_world.h
@@ -67,6 +67,7 @@
   std::size_t hosts() const { return m_nodes.size(); }
   EntryHost& host(std::size_t index) { return *m_nodes[index]->host; }
   const Counters& counters(std::size_t index) const { return m_nodes[index]->counters; }
+  MemberStatements& statements() { return m_statements; }
   MemberModel& member(std::size_t index) { return m_members[index].model; }
   Configuration& configuration() { return m_configuration; }
   StoreModel& store() { return m_store; }
--- a/misc/measure/member_statements.h
+++ b/misc/measure/member_statements.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -32,6 +33,9 @@
 /// to the text under the first, and `read` returns the text under its parameter.
 class MemberStatements {
  public:
+  /// Called once between the commit of the next write and the status that is returned with it, if it is set.
+  std::function<void()> after_commit;
+
   /// Carries `operation` out on a connection to the member `model`.
   tl::expected<UpstreamResult, UpstreamError> carry_out(MemberModel& model, OpenWrites& open,
                                                         const UpstreamOperation& operation) {
@@ -154,6 +158,9 @@
       const std::uint64_t id = ++m_last_record;
       m_records.emplace(id, record);
       model.write(term, id);
+      if (const auto hook = std::exchange(after_commit, nullptr)) {
+        hook();
+      }
     }
     result.after = model.status();
     return result;
--- a/servers/host/outcome_resolver.cc
+++ b/servers/host/outcome_resolver.cc
@@ -30,6 +30,10 @@
 
 void OutcomeResolver::confirm(Execution& execution, const MemberStatus& status, ConfirmationPurpose purpose,
                               TimePoint now) {
+  if (status.raised_term != execution.term) {
+    on_superseded(execution, purpose, now);
+    return;
+  }
   execution.chart.fire(RequestEvent::kConfirm);
   execution.confirmation_purpose = purpose;
   execution.answer.session.point = point_of(status);
@@ -45,6 +49,37 @@
   m_confirmations.emplace(std::make_pair(execution.envelope.group, confirmation), execution.id);
 }
 
+void OutcomeResolver::retry_read(Execution& execution, TimePoint now) {
+  if (execution.envelope.step == TransactionStep::kNone) {
+    m_actions.retry(execution, RetryReason::kPrimaryChanged, false, now);
+    return;
+  }
+  // The statements of a transaction are gone with it and cannot be repeated here.
+  m_actions.refuse(execution,
+                   make_refusal(RefusalReason::kTransactionAborted, Ran::kNo,
+                                "the primary was replaced while the transaction was reading"),
+                   now);
+}
+
+void OutcomeResolver::on_superseded(Execution& execution, ConfirmationPurpose purpose, TimePoint now) {
+  // A higher term began between the operation and the status. The position belongs to the old term, and in the new one
+  // it may name other records, so nothing can be confirmed with it.
+  switch (purpose) {
+    case ConfirmationPurpose::kRead:
+      retry_read(execution, now);
+      return;
+    case ConfirmationPurpose::kWrite:
+      execution.pending_refusal =
+          make_refusal(RefusalReason::kConfirmationTimeout, Ran::kUnknown, "a new term began while the write ran");
+      settle(execution, now);
+      return;
+    case ConfirmationPurpose::kSettledRan:
+    case ConfirmationPurpose::kSettledVoid:
+      execution.chart.fire(RequestEvent::kSettle);
+      m_actions.wake_at(execution, now + kSettleRetryDelay);
+  }
+}
+
 void OutcomeResolver::on_confirmation_done(const GroupId& group, const ConfirmationDone& done, TimePoint now) {
   const auto found = m_confirmations.find({group, done.confirmation});
   if (found == m_confirmations.end()) {
@@ -62,7 +97,7 @@
   }
   m_context.counters.count("confirmations_failed");
   if (execution->confirmation_purpose == ConfirmationPurpose::kRead) {
-    m_actions.retry(*execution, RetryReason::kPrimaryChanged, false, now);
+    retry_read(*execution, now);
     return;
   }
   execution->pending_refusal =
--- a/servers/host/outcome_resolver.h
+++ b/servers/host/outcome_resolver.h
@@ -13,7 +13,8 @@
  public:
   OutcomeResolver(HostContext& context, GroupDirectory& groups, ExecutionActions& actions);
 
-  /// Releases the request's answer once a majority holds the position in `status`, which the primary returned.
+  /// Releases the request's answer once a majority holds the position in `status`, which the member returned after the
+  /// operation that it ran as the primary in Execution::term.
   void confirm(Execution& execution, const MemberStatus& status, ConfirmationPurpose purpose, TimePoint now);
 
   /// A confirmation ended.
@@ -35,6 +36,8 @@
   SessionPosition session_after_unknown(const Execution& execution);
 
  private:
+  void retry_read(Execution& execution, TimePoint now);
+  void on_superseded(Execution& execution, ConfirmationPurpose purpose, TimePoint now);
   void on_confirmed(Execution& execution, TimePoint now);
 
   HostContext& m_context;
--- a/servers/host/request_service.cc
+++ b/servers/host/request_service.cc
@@ -485,6 +485,7 @@
   execution.answer.request_id = execution.envelope.request_id;
   execution.answer.session = execution.envelope.session;
   if (confirmable) {
+    execution.term = result.before.raised_term;
     m_outcomes.confirm(execution, result.after, ConfirmationPurpose::kRead, now);
     return;
   }
--- a/tests/servers/entry_host_test.cc
+++ b/tests/servers/entry_host_test.cc
@@ -20,7 +20,9 @@
   CPPUNIT_TEST(writes_resume_after_the_primary_is_lost);
   CPPUNIT_TEST(write_in_flight_at_the_loss_is_answered_truthfully);
   CPPUNIT_TEST(cut_off_primary_never_acknowledges);
+  CPPUNIT_TEST(write_that_a_promotion_overtakes_is_not_acknowledged);
   CPPUNIT_TEST(cut_off_primary_serves_no_fresh_read);
+  CPPUNIT_TEST(reading_transaction_on_a_replaced_primary_is_aborted);
   CPPUNIT_TEST(lost_answer_is_settled_truthfully);
   CPPUNIT_TEST(owner_that_dies_after_the_write_doubles_nothing);
   CPPUNIT_TEST(same_request_id_through_two_hosts_runs_once);
@@ -94,6 +96,27 @@
     CPPUNIT_ASSERT_EQUAL(std::string("new;"), m_world->stored(old_primary, "k"));
   }
 
+  // Guards against confirming a write in a term that began on another member between its commit and its status: the new
+  // log reaches the same position without the write.
+  void write_that_a_promotion_overtakes_is_not_acknowledged() {
+    const std::size_t old_primary = m_world->primary().value();
+    const std::size_t new_primary = (old_primary + 1) % 3;
+    const std::size_t replica = (old_primary + 2) % 3;
+    m_world->statements().after_commit = [&] {
+      const Term term(m_world->member(old_primary).raised_term().value() + 1);
+      const HostId candidate("another host");
+      for (std::size_t member = 0; member < 3; ++member) {
+        m_world->member(member).raise_term(term, candidate);
+      }
+      m_world->member(new_primary).promote(term, candidate);
+      m_world->member(replica).follow(term, new_primary);
+    };
+    const CallerOutcome outcome = wait_for(m_world->submit(0, HostWorld::write_request("k", "a")));
+    CPPUNIT_ASSERT(!outcome.has_value());
+    CPPUNIT_ASSERT_EQUAL(std::string("no"), std::string(to_string(outcome.error().refusal.ran)));
+    CPPUNIT_ASSERT_EQUAL(std::string(), m_world->stored(new_primary, "k"));
+  }
+
   // Guards against a fresh read that a replaced primary answers with old data.
   void cut_off_primary_serves_no_fresh_read() {
     const std::size_t old_primary = m_world->primary().value();
@@ -123,6 +146,18 @@
     CPPUNIT_ASSERT_EQUAL(std::string("a"), m_world->stored(primary, "k"));
   }
 
+  // Guards against a reading transaction that commits old data, or whose commit is routed like a new request.
+  void reading_transaction_on_a_replaced_primary_is_aborted() {
+    Request request = HostWorld::read_request("k", Freshness::kFresh);
+    request.step = TransactionStep::kBegin;
+    const std::size_t old_primary = m_world->primary().value();
+    const TransactionHandle handle = succeed(old_primary * 2, request).transaction;
+    m_world->isolate(old_primary, true);
+    succeed((old_primary * 2 + 2) % m_world->hosts(), HostWorld::write_request("k", "new;"));
+    const Refusal refusal = refusal_of(old_primary * 2, step(handle, TransactionStep::kCommit, "", ""));
+    CPPUNIT_ASSERT(refusal.ran == Ran::kNo);
+  }
+
   // Guards against a write of unknown outcome that is reported as not run although it ran, or is sent twice.
   void lost_answer_is_settled_truthfully() {
     m_world->set_service_time(std::chrono::milliseconds(20));
