--- a/tests/servers/host_table_test.cc
+++ b/tests/servers/host_table_test.cc
@@ -66,7 +66,7 @@
   void rendezvous_moves_only_the_groups_of_a_lost_host() {
     std::vector<HostId> hosts;
     for (int index = 0; index < 10; ++index) {
-      hosts.push_back(HostId("h" + std::to_string(index)));
+      hosts.emplace_back("h" + std::to_string(index));
     }
     const std::vector<HostId> without_last(hosts.begin(), hosts.end() - 1);
     std::size_t moved = 0;
