--- a/tests/servers/host_table_test.cc
+++ b/tests/servers/host_table_test.cc
@@ -64,8 +64,10 @@
 
   // Guards against the loss of one host that moves the queues and connections of all groups.
   void rendezvous_moves_only_the_groups_of_a_lost_host() {
+    constexpr std::size_t kHosts = 10;
     std::vector<HostId> hosts;
-    for (int index = 0; index < 10; ++index) {
+    hosts.reserve(kHosts);
+    for (std::size_t index = 0; index < kHosts; ++index) {
       hosts.emplace_back("h" + std::to_string(index));
     }
     const std::vector<HostId> without_last(hosts.begin(), hosts.end() - 1);
