--- a/servers/session_host/session_host.cc
+++ b/servers/session_host/session_host.cc
@@ -68,8 +68,9 @@
   if (m_failover.take_token_rejected()) {
     m_duty.on_superseded(now);
   }
-  m_sessions.executor().set_in_minority(in_minority(now));
+  m_sessions.executor().set_in_minority(in_minority(now), now);
   m_cut_off = m_sessions.executor().is_cut_off(now);
+  m_sessions.set_cut_off(m_cut_off, now);
   m_sessions.on_tick(now);
   if (now >= m_next_report) {
     send_reports(now);
--- a/servers/sessions/session_service.cc
+++ b/servers/sessions/session_service.cc
@@ -40,6 +40,14 @@
   settle_waiting(now);
 }
 
+void SessionService::set_cut_off(bool cut_off, TimePoint now) {
+  if (!cut_off) {
+    m_cut_off_since.reset();
+  } else if (!m_cut_off_since.has_value()) {
+    m_cut_off_since = now;
+  }
+}
+
 void SessionService::begin_stop(Duration grace, TimePoint now) {
   m_stopping_since = now;
   m_stop_grace = grace;
@@ -54,7 +62,7 @@
   m_next_sweep = now + kSweepInterval;
   settle_waiting(now);
   end_idle_transactions(now);
-  if (m_stopping_since.has_value()) {
+  if (m_stopping_since.has_value() || closes_idle(now)) {
     close_resting(now);
   }
 }
@@ -259,6 +267,13 @@
   session->second.failure_told = session->second.state == TransactionState::kFailed;
   m_counters.count(reply.error.has_value() ? "statements_failed" : "statements_served");
   m_callers.reply(id, reply);
+  const bool refused_here = m_cut_off_since.has_value() && reply.error.has_value();
+  if (refused_here && session->second.state == TransactionState::kIdle && session->second.pending.empty()) {
+    // The caller's next attempt opens a new session, which the balancer may give to a host that is not cut off.
+    m_sessions.erase(session);
+    m_callers.close_session(id);
+    return;
+  }
   run_pending(session->second, now);
 }
 
@@ -282,16 +297,21 @@
   }
 }
 
+bool SessionService::closes_idle(TimePoint now) const {
+  const bool stops = m_stopping_since.has_value() && now >= *m_stopping_since + kRotationNotice;
+  return stops || (m_cut_off_since.has_value() && now >= *m_cut_off_since + kRotationNotice);
+}
+
 void SessionService::close_resting(TimePoint now) {
-  const bool ends_transactions = now >= *m_stopping_since + m_stop_grace / 2;
-  const bool closes = now >= *m_stopping_since + kStopNotice;
+  const bool ends_transactions = m_stopping_since.has_value() && now >= *m_stopping_since + m_stop_grace / 2;
+  const bool closes = closes_idle(now);
   std::vector<SessionId> closing;
   for (auto& [id, session] : m_sessions) {
     if (session.execution.has_value() || !session.pending.empty()) {
       continue;
     }
     if (session.state == TransactionState::kIdle) {
-      if (closes && now >= session.active_at + kStopRest) {
+      if (closes && now >= session.active_at + kCloseRest) {
         closing.push_back(id);
       }
     } else if (ends_transactions) {
--- a/servers/sessions/session_service.h
+++ b/servers/sessions/session_service.h
@@ -16,10 +16,11 @@
  public:
   /// Time for which a session waits for a route while the configuration may be outdated.
   static constexpr Duration kRouteWait = std::chrono::milliseconds(1500);
-  /// Time after the begin of a stop in which the balancer may still send sessions here: two missed readiness checks.
-  static constexpr Duration kStopNotice = std::chrono::milliseconds(2200);
-  /// Rest after which a stopping host closes a session between two operations.
-  static constexpr Duration kStopRest = std::chrono::milliseconds(150);
+  /// Time after the host ceased to be ready in which the balancer may still send sessions here: two missed readiness
+  /// checks.
+  static constexpr Duration kRotationNotice = std::chrono::milliseconds(2200);
+  /// Rest after which a session is closed between two operations, so that its caller turns to another host.
+  static constexpr Duration kCloseRest = std::chrono::milliseconds(150);
 
   SessionService(CallerSessionPort& callers, ExecutorServices services);
 
@@ -29,6 +30,10 @@
   /// Tells whether the routing table may be outdated, because the store has not answered lately.
   void set_routing_current(bool current, TimePoint now);
 
+  /// Tells whether the host is cut off. Sessions at rest are closed then, once the balancer sends their callers to other
+  /// hosts.
+  void set_cut_off(bool cut_off, TimePoint now);
+
   /// Closes sessions as they come to rest; after half of `grace` open transactions are rolled back.
   void begin_stop(Duration grace, TimePoint now);
 
@@ -69,6 +74,7 @@
               const std::string& text = {});
   void end_idle_transactions(TimePoint now);
   void close_resting(TimePoint now);
+  bool closes_idle(TimePoint now) const;
 
   CallerSessionPort& m_callers;
   Counters& m_counters;
@@ -79,6 +85,7 @@
   bool m_routing_current = false;
   std::map<SessionId, WaitingSession> m_waiting;
   TimePoint m_next_sweep;
+  std::optional<TimePoint> m_cut_off_since;
   std::optional<TimePoint> m_stopping_since;
   Duration m_stop_grace{0};
 };
--- a/servers/sessions/statement_executor.cc
+++ b/servers/sessions/statement_executor.cc
@@ -304,8 +304,8 @@
   for (const MemberId& id : candidates(session, group, now)) {
     UpstreamMember& member = *group.find(id);
     // One connection stays free of transactions, whose pauses would keep single statements waiting.
-    if (begins_transaction && m_connections.pinned_count(member) + 1 >= m_connections.limit(group) &&
-        m_connections.limit(group) > 1) {
+    if (begins_transaction && m_connections.pinned_count(member) + 1 >= m_connections.limit(group, now) &&
+        m_connections.limit(group, now) > 1) {
       continue;
     }
     if (!member.window.admits(active_connections(member))) {
--- a/servers/sessions/statement_executor.h
+++ b/servers/sessions/statement_executor.h
@@ -77,8 +77,9 @@
   void on_reported_position(const GroupId& group, const LogPoint& position, TimePoint at);
   void set_fleet_size(std::size_t hosts) { m_connections.set_fleet_size(hosts); }
   /// Sets whether this host hears only a minority of the fleet. It then refuses what an unreachable primary would have
-  /// to run, so that callers turn to other hosts while there is time.
-  void set_in_minority(bool in_minority) { m_in_minority = in_minority; }
+  /// to run, so that callers turn to other hosts while there is time. When the minority ends, attempts to connect that
+  /// began in it are made anew, because they wait for an answer that the cut has swallowed.
+  void set_in_minority(bool in_minority, TimePoint now);
 
   /// Tells whether this host is in the minority and cannot reach the primary of some group.
   bool is_cut_off(TimePoint now) const;
@@ -166,6 +167,7 @@
   void on_running_timer(Session& session, UpstreamGroup& group, TimePoint now);
   Duration hedge_delay(const Session& session) const;
   void upkeep(TimePoint now);
+  void connect_anew(TimePoint now);
   void doubt_primary(UpstreamGroup& group, TimePoint now);
 
   ExecutorServices m_services;
--- a/servers/sessions/statement_timers.cc
+++ b/servers/sessions/statement_timers.cc
@@ -141,6 +141,27 @@
   }
 }
 
+void StatementExecutor::set_in_minority(bool in_minority, TimePoint now) {
+  const bool ended = m_in_minority && !in_minority;
+  m_in_minority = in_minority;
+  if (ended) {
+    connect_anew(now);
+  }
+}
+
+void StatementExecutor::connect_anew(TimePoint now) {
+  for (auto& [id, group] : m_groups) {
+    for (const ConnectionId connection : m_connections.opening(group)) {
+      m_connections.close(group, connection);
+    }
+    for (auto& [member_id, member] : group.members()) {
+      member.next_connect_at = now;
+      member.connect_failures = 0;
+    }
+  }
+  upkeep(now);
+}
+
 void StatementExecutor::on_tick(TimePoint now) {
   for (const SessionId id : m_timers.take_due(now)) {
     // What an earlier timer of this round did may have moved the session on and set its next time.
--- a/servers/sessions/upstream_connections.cc
+++ b/servers/sessions/upstream_connections.cc
@@ -39,11 +39,24 @@
   return std::max<std::size_t>(1, group.configuration().max_connections / m_fleet_size);
 }
 
+std::size_t UpstreamConnections::resting_share(const UpstreamGroup& group) const {
+  return std::max<std::size_t>(1, group.configuration().max_connections / (2 * m_fleet_size));
+}
+
+std::size_t UpstreamConnections::limit(const UpstreamGroup& group, TimePoint now) const {
+  const bool lingering = !m_first_opened_at.has_value() || now < *m_first_opened_at + kLingerTime;
+  return 1 + (lingering ? resting_share(group) : even_share(group));
+}
+
 bool UpstreamConnections::may_open(const UpstreamGroup& group, const UpstreamMember& member, TimePoint now) const {
-  return member.connections.size() < limit(group) && now >= member.next_connect_at;
+  if (member.connection_limit_reached && member.opening > 0) {
+    return false;
+  }
+  return member.connections.size() < limit(group, now) && now >= member.next_connect_at;
 }
 
 void UpstreamConnections::open(UpstreamGroup& group, UpstreamMember& member, TimePoint now) {
+  m_first_opened_at = m_first_opened_at.value_or(now);
   MemberConnection connection;
   connection.id = ConnectionId(m_next_id++);
   connection.group = group.id();
@@ -68,6 +81,7 @@
   }
   --member->opening;
   member->connect_failures = 0;
+  member->connection_limit_reached = false;
   group.on_answer(connection.member, false, now);
 }
 
@@ -78,6 +92,7 @@
     if (kind == MemberLinkErrorKind::kTooManyConnections) {
       m_counters.count("member_connection_limit_reached");
       member->next_connect_at = now + kLimitPause;
+      member->connection_limit_reached = true;
       group.on_answer(connection.member, false, now);
     } else {
       m_counters.count("member_connections_failed");
@@ -149,6 +164,16 @@
       }));
 }
 
+std::vector<ConnectionId> UpstreamConnections::opening(const UpstreamGroup& group) const {
+  std::vector<ConnectionId> opening;
+  for (const auto& [id, connection] : m_connections) {
+    if (connection.group == group.id() && !connection.open) {
+      opening.push_back(id);
+    }
+  }
+  return opening;
+}
+
 std::vector<ConnectionId> UpstreamConnections::overdue(TimePoint now) const {
   std::vector<ConnectionId> overdue;
   for (const auto& [id, connection] : m_connections) {
@@ -172,8 +197,8 @@
     if (found == m_connections.end() || !is_idle(found->second)) {
       continue;
     }
-    const bool above_share = left > even_share(group) && found->second.used_at + kIdleTimeout <= now;
-    if (unused || above_share) {
+    const bool above_resting_share = left > resting_share(group) && found->second.used_at + kIdleTimeout <= now;
+    if (unused || above_resting_share) {
       closing.push_back(id);
       --left;
     }
--- a/servers/sessions/upstream_connections.h
+++ b/servers/sessions/upstream_connections.h
@@ -62,8 +62,10 @@
   static constexpr Duration kLimitPause = std::chrono::milliseconds(150);
   static constexpr Duration kMinConnectPause = std::chrono::milliseconds(50);
   static constexpr Duration kMaxConnectPause = std::chrono::milliseconds(400);
-  /// Time without use after which a connection above this host's even share is closed.
-  static constexpr Duration kIdleTimeout = std::chrono::seconds(2);
+  /// Time without use after which a connection above this host's resting share is closed.
+  static constexpr Duration kIdleTimeout = std::chrono::seconds(1);
+  /// Time for which a member keeps connections of a host that has lost power.
+  static constexpr Duration kLingerTime = std::chrono::seconds(3);
 
   /// All references must outlive the object. `receiver` gets the events of the connections.
   UpstreamConnections(MemberLinkPort& links, MemberLinkEvents& receiver, Counters& counters);
@@ -80,9 +82,13 @@
   /// Returns this host's even share of the connections of one member.
   std::size_t even_share(const UpstreamGroup& group) const;
 
+  /// Returns the connections to one member that this host keeps when idle: half of its even share. If all hosts lose
+  /// power, members keep their connections for kLingerTime, and the other half must suffice until then.
+  std::size_t resting_share(const UpstreamGroup& group) const;
+
   /// Returns the most connections that this host opens to one member: the even share and one more, since few hosts are
-  /// at their crest together.
-  std::size_t limit(const UpstreamGroup& group) const { return even_share(group) + 1; }
+  /// at their crest together. While connections of a former life of this process may linger, half of it.
+  std::size_t limit(const UpstreamGroup& group, TimePoint now) const;
 
   /// Tells whether one more connection to `member` may be opened now.
   bool may_open(const UpstreamGroup& group, const UpstreamMember& member, TimePoint now) const;
@@ -113,10 +119,13 @@
   /// Returns the connections to `member` that callers' transactions hold.
   std::size_t pinned_count(const UpstreamMember& member) const;
 
+  /// Returns the connections to the group's members that are not open yet.
+  std::vector<ConnectionId> opening(const UpstreamGroup& group) const;
+
   /// Returns the connections whose attempt, or whose reply that nobody waits for, has taken too long.
   std::vector<ConnectionId> overdue(TimePoint now) const;
 
-  /// Returns idle connections beyond the even share, or to members that are not in use any more.
+  /// Returns idle connections beyond the resting share, or to members that are not in use any more.
   std::vector<ConnectionId> superfluous(const UpstreamGroup& group, const UpstreamMember& member, TimePoint now) const;
 
   std::size_t size() const { return m_connections.size(); }
@@ -130,6 +139,7 @@
   std::unordered_map<ConnectionId, MemberConnection> m_connections;
   std::uint64_t m_next_id = 1;
   std::size_t m_fleet_size = 1;
+  std::optional<TimePoint> m_first_opened_at;
 };
 
 }  // namespace teaselrudder
