--- a/servers/session_host/session_host.h
+++ b/servers/session_host/session_host.h
@@ -50,8 +50,8 @@
   /// Time to live of the lease on this host's record, and on the failover duty. The duty's is short, because no primary
   /// is replaced between its holder's loss and the end of the lease.
   static constexpr Duration kRecordTimeToLive = std::chrono::seconds(6);
-  static constexpr Duration kDutyTimeToLive = std::chrono::milliseconds(2500);
-  static constexpr Duration kDutyRenewal = std::chrono::milliseconds(800);
+  static constexpr Duration kDutyTimeToLive = std::chrono::milliseconds(1600);
+  static constexpr Duration kDutyRenewal = std::chrono::milliseconds(500);
   /// Time between two reports to each other host.
   static constexpr Duration kReportInterval = std::chrono::milliseconds(250);
   /// Gap between two ticks that shows that this process was stopped meanwhile.
