Tell a replacement the list of members before it begins; believe the fleet's silence

A replica that had come back while the store was away was overlooked, and the commits that only it and the living primary held were lost. The replacement now gets token and list on each tick, also while it rests, and starts from 'not current'. FailoverDutyTest::first_answers_... failed first. Besides: a survey that does not begin because of silence waits for the primary's own answer (it was taken for silent when a replica answered first), and a primary that answers does not step down while a replica may be unknown.

Cause 2 (time without writes): a new holder of the duty waited 600 ms and then probed the primary itself, although all hosts had reported its silence to one another.

--- a/servers/failover/evidence_board.h
+++ b/servers/failover/evidence_board.h
@@ -30,7 +30,7 @@
   /// Returns the hosts with a fresh report that the platform's store answers them.
   std::size_t hosts_with_store(TimePoint now) const;
 
-  /// Returns the hosts that reported within kForgetAfter.
+  /// Returns the hosts that reported within kForgetAfter, in order.
   std::vector<HostId> known_hosts(TimePoint now) const;
 
   /// Returns the newest report of `host` for the echo: its clock, and when it arrived here.
--- a/servers/failover/failover_duty.cc
+++ b/servers/failover/failover_duty.cc
@@ -9,8 +9,8 @@
 
 /// Failed probes after which a primary may count as lost.
 constexpr std::uint32_t kFailedProbes = 2;
-/// Time of a new holder before it replaces anything, in which it hears from the other hosts.
-constexpr Duration kSettlingTime = std::chrono::milliseconds(600);
+/// Time after the start of the process before it replaces anything, in which it hears from the other hosts.
+constexpr Duration kSettlingTime = std::chrono::milliseconds(1000);
 
 }  // namespace
 
@@ -24,6 +24,7 @@
                            std::optional<FencingToken> token, std::size_t fleet_size, bool members_current,
                            TimePoint now) {
   m_groups = &groups;
+  m_first_tick = m_first_tick.value_or(now);
   m_now = now;
   m_next_tick = now + kInterval;
   m_links.on_tick(now);
@@ -33,7 +34,6 @@
   }
   if (!m_on_duty) {
     m_on_duty = true;
-    m_on_duty_since = now;
     m_services.log.log_state_change("duty_begins", {{"token", std::to_string(token->value())}});
   }
   for (const auto& [id, group] : groups) {
@@ -52,9 +52,9 @@
       watched.replacement = std::make_unique<PrimaryReplacement>(id, m_chart, std::move(services));
       watched.answered_at = now;
     }
-    if (watched.replacement->is_running()) {
-      watched.replacement->on_tick(group, *token, members_current, now);
-    } else {
+    // Before anything begins, so that the first answers already meet the present token and list of members.
+    watched.replacement->on_tick(group, *token, members_current, now);
+    if (!watched.replacement->is_running()) {
       watch(group, watched, board, fleet_size, now);
     }
   }
@@ -100,23 +100,23 @@
     watched.leaderless_since = now;
   }
   probe(group, watched, now);
-  if (now < m_on_duty_since + kSettlingTime) {
+  if (now < *m_first_tick + kSettlingTime) {
     return;
   }
   if (watched.leaderless_since.has_value() && *watched.leaderless_since + kNoPrimary <= now) {
     watched.leaderless_since.reset();
-    watched.replacement->begin("no member leads", false, now);
+    watched.replacement->begin(ReplacementReason::kNoPrimary, now);
   } else if (primary == nullptr) {
     return;
   } else if (primary->leaving_since.has_value()) {
-    watched.replacement->begin("primary leaves", true, now);
+    watched.replacement->begin(ReplacementReason::kLeaving, now);
   } else if (watched.stopped_replica) {
     watched.stopped_replica = false;
-    watched.replacement->begin("a replica was left stopped", true, now);
-  } else if (is_lost(group, watched, board, fleet_size, now)) {
-    watched.replacement->begin("primary is silent", false, now);
+    watched.replacement->begin(ReplacementReason::kStoppedReplica, now);
+  } else if (is_silent_for_most(group, board, now) || is_lost(group, watched, board, fleet_size, now)) {
+    watched.replacement->begin(ReplacementReason::kSilent, now);
   } else if (now >= watched.led_since + kCommitStall && is_stalled(group, board, now)) {
-    watched.replacement->begin("commits are not acknowledged", false, now);
+    watched.replacement->begin(ReplacementReason::kStalledCommits, now);
   }
 }
 
@@ -216,6 +216,18 @@
   return heard == 0 || (silent > heard && now >= watched.answered_at + 2 * kSilence);
 }
 
+bool FailoverDuty::is_silent_for_most(const UpstreamGroup& group, const EvidenceBoard& board, TimePoint now) {
+  std::vector<PrimaryEvidence> all = board.fresh(group.id(), now);
+  all.push_back(group.report(now));
+  std::erase_if(all, [&group](const PrimaryEvidence& evidence) { return evidence.primary != *group.primary(); });
+  const bool heard = std::any_of(all.begin(), all.end(), [](const PrimaryEvidence& evidence) {
+    return evidence.heard_age.has_value() && *evidence.heard_age < kHeardElsewhere;
+  });
+  const auto silent = static_cast<std::size_t>(std::count_if(
+      all.begin(), all.end(), [](const PrimaryEvidence& evidence) { return evidence.silent_for >= kSilence; }));
+  return !heard && silent >= 2 && 2 * silent > all.size();
+}
+
 bool FailoverDuty::is_stalled(const UpstreamGroup& group, const EvidenceBoard& board, TimePoint now) {
   std::vector<PrimaryEvidence> all = board.fresh(group.id(), now);
   all.push_back(group.report(now));
--- a/servers/failover/failover_duty.h
+++ b/servers/failover/failover_duty.h
@@ -91,6 +91,8 @@
   void probe(const UpstreamGroup& group, Watched& watched, TimePoint now);
   bool is_lost(const UpstreamGroup& group, const Watched& watched, const EvidenceBoard& board, std::size_t fleet_size,
                TimePoint now) const;
+  /// Tells whether nobody hears the primary and most hosts of whom there is news wait for an answer of it.
+  static bool is_silent_for_most(const UpstreamGroup& group, const EvidenceBoard& board, TimePoint now);
   static bool is_stalled(const UpstreamGroup& group, const EvidenceBoard& board, TimePoint now);
 
   FailoverServices m_services;
@@ -99,7 +101,7 @@
   std::map<GroupId, Watched> m_watched;
   const std::map<GroupId, UpstreamGroup>* m_groups = nullptr;
   bool m_on_duty = false;
-  TimePoint m_on_duty_since;
+  std::optional<TimePoint> m_first_tick;
   TimePoint m_now;
   TimePoint m_next_tick;
 };
--- a/servers/failover/primary_replacement.cc
+++ b/servers/failover/primary_replacement.cc
@@ -35,6 +35,22 @@
 
 }  // namespace
 
+std::string_view to_string(ReplacementReason reason) {
+  switch (reason) {
+    case ReplacementReason::kLeaving:
+      return "primary leaves";
+    case ReplacementReason::kStoppedReplica:
+      return "a replica was left stopped";
+    case ReplacementReason::kStalledCommits:
+      return "commits are not acknowledged";
+    case ReplacementReason::kSilent:
+      return "primary is silent";
+    case ReplacementReason::kNoPrimary:
+      return "no member leads";
+  }
+  return "primary is silent";
+}
+
 tl::expected<std::shared_ptr<const StateChart>, std::string> load_replacement_chart() {
   auto chart =
       StateChart::load("primary_replacement", compiled_chart("primary_replacement"), state_names(), event_names());
@@ -70,11 +86,15 @@
   m_asked_at.clear();
 }
 
-void PrimaryReplacement::begin(const std::string& cause, bool planned, TimePoint now) {
+bool PrimaryReplacement::is_planned() const {
+  return m_reason == ReplacementReason::kLeaving || m_reason == ReplacementReason::kStoppedReplica;
+}
+
+void PrimaryReplacement::begin(ReplacementReason reason, TimePoint now) {
   if (is_running() || now < m_not_before) {
     return;
   }
-  m_planned = planned;
+  m_reason = reason;
   m_began = now;
   m_term = Term(0);
   m_old_primary.reset();
@@ -85,8 +105,8 @@
   m_final_position.reset();
   m_primary_answers = false;
   m_promotion_sent = false;
-  m_services.counters.count(planned ? "replacements_planned" : "replacements_for_loss");
-  fire(ReplacementEvent::kReplacementDue, cause, now);
+  m_services.counters.count(is_planned() ? "replacements_planned" : "replacements_for_loss");
+  fire(ReplacementEvent::kReplacementDue, std::string(to_string(reason)), now);
 }
 
 void PrimaryReplacement::abandon() {
@@ -98,6 +118,15 @@
   return group.members().contains(member) && m_old_primary != member;
 }
 
+std::size_t PrimaryReplacement::count_replicas(const UpstreamGroup& group) const {
+  return static_cast<std::size_t>(std::count_if(group.members().begin(), group.members().end(),
+                                                [&](const auto& member) { return is_replica(group, member.first); }));
+}
+
+bool PrimaryReplacement::knows_all_replicas(const UpstreamGroup& group) const {
+  return m_members_current || count_replicas(group) + 1 >= group.largest_size();
+}
+
 void PrimaryReplacement::ask(const UpstreamGroup& group, const MemberId& member, MemberCommandKind command,
                              TimePoint now) {
   const UpstreamMember* const known = group.find(member);
@@ -159,7 +188,9 @@
     if (m_reports.contains(id)) {
       continue;
     }
-    complete = complete && !is_replica(group, id);
+    // A primary that answers is waited for as well: it has to step down before the replicas stop, and what it holds
+    // decides who may follow.
+    complete = complete && !is_replica(group, id) && m_reason == ReplacementReason::kSilent;
     ask(group, id, MemberCommandKind::kReportStatus, now);
   }
   if (!complete && now < m_since + kSurveyTime) {
@@ -190,12 +221,13 @@
     const bool possible = std::any_of(m_reports.begin(), m_reports.end(), [&](const auto& report) {
       return is_replica(group, report.first) && holds_whole_log(group, report.second.received);
     });
-    if (!possible) {
-      give_up(group, "no replica holds the whole log", now);
+    if (!possible || !knows_all_replicas(group)) {
+      // It goes on leading, which is better than a step down that nobody can follow.
+      give_up(group, possible ? "a replica may be unknown" : "no replica holds the whole log", now);
       return;
     }
   }
-  fire(ReplacementEvent::kSurveyed, m_planned ? "planned" : "primary is lost", now);
+  fire(ReplacementEvent::kSurveyed, is_planned() ? "planned" : "primary is lost", now);
   advance_step_down(group, now);
 }
 
@@ -211,22 +243,20 @@
 
 void PrimaryReplacement::advance_stop(const UpstreamGroup& group, TimePoint now) {
   bool complete = true;
-  std::size_t replicas = 0;
   for (const auto& [id, member] : group.members()) {
     if (!is_replica(group, id)) {
       continue;
     }
-    ++replicas;
     if (!m_stopped.contains(id)) {
       complete = false;
       ask(group, id, MemberCommandKind::kStopReceiving, now);
     }
   }
-  if (replicas == 0) {
+  if (count_replicas(group) == 0) {
     give_up(group, "group has no replica", now);
     return;
   }
-  complete = complete && (m_members_current || replicas + 1 >= group.largest_size());
+  complete = complete && knows_all_replicas(group);
   if (complete || (!group.configuration().synchronous && !m_stopped.empty() && now >= m_since + kSurveyTime)) {
     choose_candidate(group);
     if (!holds_whole_log(group, m_stopped.at(*m_candidate))) {
@@ -236,7 +266,7 @@
     fire(ReplacementEvent::kAllStopped, "highest position " + to_text(m_stopped.at(*m_candidate)), now);
     return;
   }
-  if (m_old_primary.has_value() && !m_planned) {
+  if (m_old_primary.has_value() && !is_planned()) {
     ask(group, *m_old_primary, MemberCommandKind::kReportStatus, now);
   }
   if (m_primary_answers && now >= m_since + kReturnedPrimaryWait) {
--- a/servers/failover/primary_replacement.h
+++ b/servers/failover/primary_replacement.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include "core/chart/state_chart.h"
 #include "core/metrics/counters.h"
@@ -29,6 +30,17 @@
   kGivenUp,
 };
 
+/// Why a primary is replaced.
+enum class ReplacementReason {
+  kLeaving,         // The primary's entry says that it leaves.
+  kStoppedReplica,  // A former holder of the duty left a replica stopped.
+  kStalledCommits,  // The primary answers, but its commits are not acknowledged.
+  kSilent,          // The primary does not answer.
+  kNoPrimary,       // No member is known to lead.
+};
+
+std::string_view to_string(ReplacementReason reason);
+
 /// Loads the compiled-in chart of replacements. The error names what is wrong with it.
 tl::expected<std::shared_ptr<const StateChart>, std::string> load_replacement_chart();
 
@@ -70,8 +82,8 @@
 
   PrimaryReplacement(GroupId group, std::shared_ptr<const StateChart> chart, ReplacementServices services);
 
-  /// Begins a replacement unless one runs or has just been given up. `planned` means that the primary still serves.
-  void begin(const std::string& cause, bool planned, TimePoint now);
+  /// Begins a replacement unless one runs or has just been given up.
+  void begin(ReplacementReason reason, TimePoint now);
 
   /// Does what is due. `token` is the one that this host holds now; `members_current` tells whether the store has
   /// lately said which members there are. If it has not, the group may have a replica that is not known here and that
@@ -95,6 +107,12 @@
   void fire(ReplacementEvent event, const std::string& cause, TimePoint now);
   void ask(const UpstreamGroup& group, const MemberId& member, MemberCommandKind command, TimePoint now);
   bool is_replica(const UpstreamGroup& group, const MemberId& member) const;
+  /// Tells whether the primary still serves, so that no commit need be refused before it has stepped down.
+  bool is_planned() const;
+  std::size_t count_replicas(const UpstreamGroup& group) const;
+  /// Tells whether no replica can be unknown here: the store has lately said which members there are, or as many are
+  /// known as the group ever had.
+  bool knows_all_replicas(const UpstreamGroup& group) const;
   bool waits_for_token(TimePoint now);
   void advance_survey(const UpstreamGroup& group, TimePoint now);
   void advance_step_down(const UpstreamGroup& group, TimePoint now);
@@ -109,7 +127,7 @@
   std::shared_ptr<const StateChart> m_chart;
   ReplacementServices m_services;
   ChartState m_state;
-  bool m_planned = false;
+  ReplacementReason m_reason = ReplacementReason::kSilent;
   bool m_token_rejected = false;
   TimePoint m_began;
   TimePoint m_since;
@@ -125,7 +143,7 @@
   /// Position of the old primary after it stepped down.
   std::optional<LogPoint> m_final_position;
   bool m_primary_answers = false;
-  bool m_members_current = true;
+  bool m_members_current = false;
   std::optional<MemberId> m_candidate;
   bool m_promotion_sent = false;
   TimePoint m_next_promotion;
--- /dev/null
+++ b/tests/servers/failover/failover_duty_test.cc
@@ -0,0 +1,206 @@
+#include "servers/failover/failover_duty.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <deque>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "tests/model/replicated_members.h"
+
+namespace teaselrudder {
+
+namespace {
+
+constexpr TimePoint kStart{std::chrono::hours(1)};
+constexpr Duration kTick = std::chrono::milliseconds(50);
+const GroupId kGroup{"ledger"};
+
+/// Members that answer only when the test says so, and a platform that notes what it is told to promote.
+class ScriptedMembers final : public MemberLinkPort, public PromotionPort {
+ public:
+  /// What a member answers to a status command; the row of the model's members.
+  std::map<MemberId, std::string> rows;
+  std::vector<MemberId> promoted;
+
+  void open_link(ConnectionId connection, const MemberAddress& address, MemberLinkEvents& receiver) override {
+    m_connections[connection] = {address.member, &receiver, {}};
+  }
+  void send(ConnectionId connection, const std::vector<MemberCommand>& commands) override {
+    for (const MemberCommand& command : commands) {
+      m_connections.at(connection).unanswered.push_back(command.kind);
+    }
+  }
+  void close_link(ConnectionId connection) override { m_connections.erase(connection); }
+  void promote(const GroupId& /*group*/, const MemberId& member, const HostId& /*holder*/, FencingToken /*token*/,
+               PromotionEvents& /*receiver*/) override {
+    promoted.push_back(member);
+  }
+
+  /// Opens the connection to `member` and answers what was sent on it, until nothing more is sent.
+  void answer(const MemberId& member, TimePoint now) {
+    const auto found = std::find_if(m_connections.begin(), m_connections.end(),
+                                    [&member](const auto& entry) { return entry.second.member == member; });
+    if (found == m_connections.end()) {
+      return;
+    }
+    const ConnectionId id = found->first;
+    MemberLinkEvents* const receiver = found->second.receiver;
+    if (!std::exchange(found->second.open, true)) {
+      receiver->on_link_opened(id, {}, now);
+    }
+    while (m_connections.contains(id) && !m_connections.at(id).unanswered.empty()) {
+      m_connections.at(id).unanswered.pop_front();
+      StatementReply reply;
+      reply.rows.push_back(rows.at(member));
+      receiver->on_link_reply(id, reply, now);
+    }
+  }
+
+ private:
+  struct Connection {
+    MemberId member;
+    MemberLinkEvents* receiver = nullptr;
+    std::deque<MemberCommandKind> unanswered;
+    bool open = false;
+  };
+
+  std::map<ConnectionId, Connection> m_connections;
+};
+
+class FailoverDutyTest : public CppUnit::TestFixture, private PrimaryListener, private EventLogPort {
+  CPPUNIT_TEST_SUITE(FailoverDutyTest);
+  CPPUNIT_TEST(first_answers_meet_the_present_list_of_members);
+  CPPUNIT_TEST(primary_that_most_hosts_wait_for_needs_no_probes);
+  CPPUNIT_TEST(primary_that_one_host_hears_is_not_lost);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void setUp() override {
+    m_now = kStart;
+    m_members = std::make_unique<ScriptedMembers>();
+    m_counters = std::make_unique<Counters>();
+    m_board = std::make_unique<EvidenceBoard>();
+    m_replacements = 0;
+    FailoverServices services{*m_members, model::read_model_report, *m_members, *this, [] {}, *m_counters,
+                              *this,      HostId("host0")};
+    m_duty = std::make_unique<FailoverDuty>(std::move(services), load_replacement_chart().value());
+    m_groups.clear();
+    UpstreamGroup& group = m_groups.try_emplace(kGroup, kGroup).first->second;
+    group.configure({kGroup, 22, true});
+    for (const char* name : {"m0", "m1", "m2"}) {
+      MemberEntry entry;
+      entry.member = MemberId(name);
+      entry.group = kGroup;
+      entry.is_primary = entry.member == MemberId("m0");
+      group.on_member_seen(entry, m_now);
+    }
+    group.learn_primary(MemberId("m0"), Term(1));
+    m_members->rows = {
+        {MemberId("m0"), "primary 1 1 9 0"}, {MemberId("m1"), "replica 1 1 5 0"}, {MemberId("m2"), "replica 1 1 5 0"}};
+  }
+
+  // Guards against a replacement whose first answers arrive before it has been told that the list of members is
+  // outdated (random run 20 of the session hosts): a replica that came back while the store was away was overlooked,
+  // and the commits that only this replica and the living primary held were lost.
+  void first_answers_meet_the_present_list_of_members() {
+    UpstreamGroup& group = m_groups.at(kGroup);
+    // The periodic question to the replicas is on its way when the replacement begins.
+    run_for(FailoverDuty::kReplicaCheck - FailoverDuty::kCommitStall + 2 * kTick, true, false);
+    group.on_member_gone(MemberId("m1"), false, m_now);
+    group.remove_gone(m_now);
+    group.on_primary_position({Term(1), LogPosition(5)}, m_now + Duration(1));
+    // From here on m1 is back, unseen, and lets the primary acknowledge commits 6 to 9.
+    group.on_commit_sent(m_now);
+    run_for(FailoverDuty::kCommitStall - kTick, false, false);
+    while (m_replacements == 0) {
+      run_for(kTick, false, false);
+    }
+    for (int round = 0; round < 5; ++round) {
+      m_members->answer(MemberId("m2"), m_now);
+    }
+    CPPUNIT_ASSERT(m_members->promoted.empty());
+    for (int round = 0; round < 20; ++round) {
+      run_for(kTick, false, false);
+      m_members->answer(MemberId("m2"), m_now);
+    }
+    CPPUNIT_ASSERT(m_members->promoted.empty());
+  }
+
+  // Guards against a new holder that spends a second on probes of its own, although the fleet has long reported that
+  // the primary is silent.
+  void primary_that_most_hosts_wait_for_needs_no_probes() {
+    run_for(std::chrono::milliseconds(1500), true, false);
+    m_groups.at(kGroup).on_attempt(MemberId("m0"), m_now);
+    run_for(FailoverDuty::kHeardElsewhere + kTick, true, true);
+    CPPUNIT_ASSERT_EQUAL(1, m_replacements);
+  }
+
+  // Guards against the replacement of a primary that only some hosts cannot reach.
+  void primary_that_one_host_hears_is_not_lost() {
+    m_heard_by_one = true;
+    run_for(std::chrono::milliseconds(1500), true, false);
+    m_groups.at(kGroup).on_attempt(MemberId("m0"), m_now);
+    run_for(FailoverDuty::kHeardElsewhere + kTick, true, true);
+    m_heard_by_one = false;
+    CPPUNIT_ASSERT_EQUAL(0, m_replacements);
+  }
+
+ private:
+  void on_primary_position(const GroupId& /*group*/, const LogPoint& /*position*/, TimePoint /*at*/) override {}
+  void on_primary_found(const GroupId& /*group*/, const MemberId& /*member*/, Term /*term*/,
+                        TimePoint /*now*/) override {}
+  void log_state_change(std::string_view event, const LogFields& fields) override {
+    const bool begins = std::any_of(fields.begin(), fields.end(), [](const auto& field) {
+      return field.first == "from" && field.second == "watching";
+    });
+    m_replacements += event == "replacement" && begins ? 1 : 0;
+  }
+
+  /// Lets time pass; `silent` tells whether this host and three others wait for the primary in vain.
+  void run_for(Duration time, bool members_current, bool silent) {
+    for (const TimePoint end = m_now + time; m_now < end; m_now += kTick) {
+      for (int host = 1; host <= 3; ++host) {
+        EvidenceReport report;
+        report.sender = HostId("host" + std::to_string(host));
+        report.sent_at_us = m_now.time_since_epoch().count();
+        PrimaryEvidence evidence;
+        evidence.group = kGroup;
+        evidence.primary = MemberId("m0");
+        evidence.term = Term(1);
+        const UpstreamMember& primary = *m_groups.at(kGroup).find(MemberId("m0"));
+        if (silent && primary.silent_since.has_value()) {
+          evidence.silent_for = m_now - *primary.silent_since;
+        }
+        evidence.commit_stalled_for = m_groups.at(kGroup).report(m_now).commit_stalled_for;
+        if (m_heard_by_one && host == 1) {
+          evidence.heard_age = std::chrono::milliseconds(10);
+          evidence.silent_for = Duration(0);
+        }
+        report.groups.push_back(evidence);
+        m_board->on_report(report, m_now);
+      }
+      if (!silent) {
+        m_groups.at(kGroup).on_answer(MemberId("m0"), false, m_now);
+      }
+      m_duty->on_tick(m_groups, *m_board, FencingToken(7), 4, members_current, m_now);
+    }
+  }
+
+  TimePoint m_now;
+  bool m_heard_by_one = false;
+  std::unique_ptr<ScriptedMembers> m_members;
+  std::unique_ptr<Counters> m_counters;
+  std::unique_ptr<EvidenceBoard> m_board;
+  std::map<GroupId, UpstreamGroup> m_groups;
+  std::unique_ptr<FailoverDuty> m_duty;
+  int m_replacements = 0;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(FailoverDutyTest);
+
+}  // namespace
+
+}  // namespace teaselrudder
--- a/tests/servers/sessions/session_host_test.cc
+++ b/tests/servers/sessions/session_host_test.cc
@@ -30,6 +30,7 @@
   CPPUNIT_TEST(replica_that_left_unheard_holds_a_replacement_up);
   CPPUNIT_TEST(former_primary_with_the_whole_log_leads_again);
   CPPUNIT_TEST(unknown_replica_holds_a_replacement_up);
+  CPPUNIT_TEST(unknown_replica_holds_up_a_replacement_for_stalled_commits);
   CPPUNIT_TEST(holder_without_store_yields_to_its_successor);
   CPPUNIT_TEST(healthy_primary_is_left_alone);
   CPPUNIT_TEST(unknown_database_is_refused_only_when_the_table_is_current);
@@ -342,6 +343,39 @@
     expect_unbroken(world);
   }
 
+  // Guards against a replacement whose first answers arrive before it has been told that the list of members is
+  // outdated (random run 20): it overlooked a replica that had come back while the store was away, and lost the commits
+  // that only this replica and the living primary held.
+  void unknown_replica_holds_up_a_replacement_for_stalled_commits() {
+    SessionWorld world(3);
+    std::vector<std::size_t> callers;
+    for (std::size_t host = 0; host < 3; ++host) {
+      callers.push_back(world.open_session(host, SessionWorld::kPrimaryReads));
+    }
+    world.members().crash(1, false);
+    world.publish_members();
+    world.run_for(kSecond);
+    world.ask(callers[0], StatementKind::kWrite);
+    world.store().down = true;
+    world.run_for(3 * kSecond);
+    world.members().restart(1);
+    world.members().member(2).deaf = true;
+    for (int round = 0; round < 5; ++round) {
+      CPPUNIT_ASSERT(!world.ask(callers[0], StatementKind::kWrite).error.has_value());
+    }
+    world.members().crash(1, true);
+    for (int round = 0; round < 40; ++round) {
+      for (const std::size_t caller : callers) {
+        if (world.caller(caller).sent.empty()) {
+          world.send(caller, StatementKind::kWrite);
+        }
+      }
+      world.run_for(std::chrono::milliseconds(250));
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, world.members().primary());
+    expect_unbroken(world);
+  }
+
   // Guards against two hosts that replace primaries at once: a holder that alone is cut off from the store takes it to
   // be away for all.
   void holder_without_store_yields_to_its_successor() {
