Use the other hosts' positions as evidence for bounded reads

Cause: a host that does not reach a primary had no position evidence after the staleness bound and refused bounded reads, although its peers report the primary's positions four times a second, with an echo that bounds their age. Evidence now takes samples in any order of time and keeps those that are later or lower. A status report stays no evidence: a replaced primary may not know it yet.

--- a/servers/session_host/session_host.cc
+++ b/servers/session_host/session_host.cc
@@ -199,7 +199,7 @@
   for (const PrimaryEvidence& evidence : report.groups) {
     m_sessions.executor().learn_primary(evidence.group, evidence.primary, evidence.term, now);
     if (const auto held_at = position_time(report, evidence, now); held_at.has_value()) {
-      m_sessions.executor().on_reported_position(evidence.group, *evidence.position, *held_at);
+      m_sessions.executor().on_evidence(evidence.group, *evidence.position, *held_at);
     }
   }
 }
--- a/servers/sessions/position_evidence.cc
+++ b/servers/sessions/position_evidence.cc
@@ -1,23 +1,32 @@
 #include "servers/sessions/position_evidence.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace teaselrudder {
 
 void PositionEvidence::add(const LogPoint& position, TimePoint requested_at) {
-  if (!m_samples.empty()) {
-    const PositionSample& newest = m_samples.back();
-    if (position.term < newest.position.term) {
-      return;
-    }
-    if (position.term > newest.position.term) {
-      m_samples.clear();
-    } else if (requested_at < newest.requested_at + kSpacing) {
+  if (!m_samples.empty() && position.term != m_samples.back().position.term) {
+    if (position.term < m_samples.back().position.term) {
       return;
     }
+    m_samples.clear();
+  }
+  auto next = std::lower_bound(m_samples.begin(), m_samples.end(), requested_at,
+                               [](const PositionSample& sample, TimePoint time) { return sample.requested_at < time; });
+  const bool adds_nothing = next != m_samples.end() && next->position <= position;
+  const bool too_close = next != m_samples.begin() && requested_at < std::prev(next)->requested_at + kSpacing &&
+                         std::prev(next)->position < position;
+  if (adds_nothing || too_close) {
+    return;
+  }
+  auto first = next;
+  while (first != m_samples.begin() && std::prev(first)->position >= position) {
+    --first;
   }
-  m_samples.push_back({position, requested_at});
-  while (m_samples.front().requested_at + kMaxAge < requested_at) {
+  next = m_samples.erase(first, next);
+  m_samples.insert(next, {position, requested_at});
+  while (m_samples.front().requested_at + kMaxAge < m_samples.back().requested_at) {
     m_samples.pop_front();
   }
 }
--- a/servers/sessions/position_evidence.h
+++ b/servers/sessions/position_evidence.h
@@ -25,8 +25,8 @@
   /// Age beyond which a sample serves no route.
   static constexpr Duration kMaxAge = std::chrono::seconds(10);
 
-  /// Adds a sample. One of an older term than the newest is ignored; one of a newer term replaces all, because the
-  /// new term's log may lack what the old primary had not acknowledged.
+  /// Adds a sample, in any order of time. One of an older term than the newest is ignored; one of a newer term replaces
+  /// all, because the new term's log may lack what the old primary had not acknowledged.
   void add(const LogPoint& position, TimePoint requested_at);
 
   /// Returns the lowest position that holds every commit acknowledged before `acknowledged_before`, or nothing if no
@@ -37,6 +37,7 @@
   std::optional<PositionSample> newest() const;
 
  private:
+  /// Rising in time and in position: a sample that is neither later nor lower than another tells nothing more.
   std::deque<PositionSample> m_samples;
 };
 
--- a/servers/sessions/statement_executor.cc
+++ b/servers/sessions/statement_executor.cc
@@ -114,6 +114,12 @@
   }
 }
 
+void StatementExecutor::on_evidence(const GroupId& group_id, const LogPoint& position, TimePoint at) {
+  if (UpstreamGroup* const group = find_group(group_id); group != nullptr) {
+    group->on_primary_position(position, at);
+  }
+}
+
 bool StatementExecutor::has_members() const {
   return !m_groups.empty() && std::all_of(m_groups.begin(), m_groups.end(),
                                           [](const auto& group) { return !group.second.members().empty(); });
--- a/servers/sessions/statement_executor.h
+++ b/servers/sessions/statement_executor.h
@@ -73,8 +73,10 @@
   void on_member_gone(const MemberId& member, bool store_was_away, TimePoint now);
   /// Learns from another host, or from a promotion, who leads.
   void learn_primary(const GroupId& group, const MemberId& member, Term term, TimePoint now);
-  /// Notes a position that the group's primary held at `at`, as another host or a status report says.
+  /// Notes a position that a status report says the group's primary held at `at`.
   void on_reported_position(const GroupId& group, const LogPoint& position, TimePoint at);
+  /// Notes evidence of another host: the group's primary returned `position` to a request that was sent after `at`.
+  void on_evidence(const GroupId& group, const LogPoint& position, TimePoint at);
   void set_fleet_size(std::size_t hosts) { m_connections.set_fleet_size(hosts); }
   /// Sets whether this host hears only a minority of the fleet. It then refuses what an unreachable primary would have
   /// to run, so that callers turn to other hosts while there is time. When the minority ends, connections that were not
--- a/servers/sessions/upstream_group.h
+++ b/servers/sessions/upstream_group.h
@@ -90,7 +90,8 @@
   /// Notes the answer of a member that led when it gave it.
   void on_primary_position(const LogPoint& position, TimePoint requested_at);
 
-  /// Notes a position that the primary held at `at`, as another host or a status report says.
+  /// Notes a position that a status report says the primary held at `at`. A primary that has been replaced may not know
+  /// it yet, so this is no evidence for reads.
   void on_reported_position(const LogPoint& position, TimePoint at);
 
   /// Returns the position that a replica must have received to be promoted: commits up to there may have been
--- a/tests/model/session_world.cc
+++ b/tests/model/session_world.cc
@@ -85,7 +85,9 @@
 SessionWorld::SessionWorld(std::size_t hosts, std::uint64_t seed)
     : m_random(seed), m_members(m_events, GroupId("ledger"), 3), m_store(m_events) {
   m_members.is_cut_from_host = [this](std::size_t links, std::size_t member) {
-    return m_isolated_hosts.contains(links / kLivesOfHost) != m_isolated_members.contains(member);
+    const std::size_t host = links / kLivesOfHost;
+    return m_isolated_hosts.contains(host) != m_isolated_members.contains(member) ||
+           m_cut_paths.contains({host, member});
   };
   m_members.is_cut_between = [this](std::size_t from, std::size_t to) {
     return m_isolated_members.contains(from) != m_isolated_members.contains(to);
--- a/tests/model/session_world.h
+++ b/tests/model/session_world.h
@@ -76,6 +76,8 @@
   /// These hosts and members reach only one another, and not the store, until heal().
   void isolate(const std::set<std::size_t>& hosts, const std::set<std::size_t>& members);
   void heal();
+  /// This host does not reach this member, in both directions.
+  void cut_path(std::size_t host, std::size_t member) { m_cut_paths.insert({host, member}); }
   /// Reports between hosts are lost.
   bool reports_cut = false;
 
@@ -125,6 +127,7 @@
   std::vector<std::unique_ptr<Host>> m_hosts;
   std::set<std::size_t> m_isolated_hosts;
   std::set<std::size_t> m_isolated_members;
+  std::set<std::pair<std::size_t, std::size_t>> m_cut_paths;
   std::vector<Caller> m_callers;
   std::map<std::pair<std::size_t, SessionId>, std::size_t> m_by_session;
   std::map<std::string, SentStatement> m_sent;
--- a/tests/servers/sessions/session_host_cut_test.cc
+++ b/tests/servers/sessions/session_host_cut_test.cc
@@ -17,6 +17,7 @@
   CPPUNIT_TEST(cut_off_host_hands_its_sessions_over);
   CPPUNIT_TEST(refused_session_leaves_a_cut_off_host_at_once);
   CPPUNIT_TEST(host_serves_again_soon_after_a_cut);
+  CPPUNIT_TEST(host_without_the_primary_serves_bounded_reads);
   CPPUNIT_TEST(primary_lost_with_the_holder_is_replaced_in_time);
   CPPUNIT_TEST(idle_hosts_leave_room_for_their_next_lives);
   CPPUNIT_TEST_SUITE_END();
@@ -70,6 +71,23 @@
     }
   }
 
+  // Guards against bounded reads that are refused for lack of evidence at a host that does not reach the primary, while
+  // the others tell it the primary's positions four times a second (deploy/days/primary_cut_from_hosts.toml).
+  void host_without_the_primary_serves_bounded_reads() {
+    SessionWorld world(5);
+    const std::size_t writer = world.open_session(1, SessionWorld::kPrimaryReads);
+    const std::size_t reader = world.open_session(0, SessionWorld::kBoundedReads);
+    world.cut_path(0, world.members().primary());
+    int refused = 0;
+    for (int round = 0; round < 40; ++round) {
+      world.ask(writer, StatementKind::kWrite);
+      refused += world.ask(reader, StatementKind::kRead).error.has_value() ? 1 : 0;
+      world.run_for(std::chrono::milliseconds(100));
+    }
+    CPPUNIT_ASSERT_EQUAL(0, refused);
+    expect_unbroken(world);
+  }
+
   // Guards against seconds of settling and probing by a new holder, while the others have long reported that the
   // primary is silent (ripewell-ops, scale-1: 3.3 s after the cut instead of 2).
   void primary_lost_with_the_holder_is_replaced_in_time() {
--- a/tests/servers/sessions/session_parts_test.cc
+++ b/tests/servers/sessions/session_parts_test.cc
@@ -17,6 +17,7 @@
   CPPUNIT_TEST(window_shrinks_once_for_one_moment_and_grows_again);
   CPPUNIT_TEST(setup_brings_every_connection_to_the_session);
   CPPUNIT_TEST(evidence_gives_the_lowest_sufficient_position);
+  CPPUNIT_TEST(evidence_of_several_hosts_is_as_good_as_the_best_of_it);
   CPPUNIT_TEST(replica_that_is_known_behind_is_not_asked);
   CPPUNIT_TEST_SUITE_END();
 
@@ -89,6 +90,35 @@
     }));
   }
 
+  // Guards against evidence that is lost or misread because it arrives out of order, from several hosts: the position
+  // must be one that some sample vouches for, and nearly the lowest such one.
+  void evidence_of_several_hosts_is_as_good_as_the_best_of_it() {
+    CPPUNIT_ASSERT(rc::check([] {
+      PositionEvidence evidence;
+      std::vector<PositionSample> all;
+      for (const int step : *rc::gen::container<std::vector<int>>(30, rc::gen::inRange(0, 2000))) {
+        const TimePoint time = kStart + std::chrono::milliseconds(step);
+        const auto slowness = static_cast<std::uint64_t>(*rc::gen::inRange(0, 300));
+        all.push_back({{Term(1), LogPosition(static_cast<std::uint64_t>(step) + slowness)}, time});
+        evidence.add(all.back().position, time);
+      }
+      const TimePoint bound = kStart + std::chrono::milliseconds(*rc::gen::inRange(0, 2200));
+      const auto lowest = [&all](TimePoint from) {
+        std::optional<LogPoint> position;
+        for (const PositionSample& sample : all) {
+          if (sample.requested_at >= from && (!position.has_value() || sample.position < *position)) {
+            position = sample.position;
+          }
+        }
+        return position;
+      };
+      const std::optional<LogPoint> found = evidence.position_for(bound);
+      RC_ASSERT(!found.has_value() || *found >= *lowest(bound));
+      const std::optional<LogPoint> expected = lowest(bound + PositionEvidence::kSpacing);
+      RC_ASSERT(!expected.has_value() || (found.has_value() && *found <= *expected));
+    }));
+  }
+
   // Guards against reads that ask a replica again and again which has just said how far it is (hinokuni-slots,
   // scale-1).
   void replica_that_is_known_behind_is_not_asked() {
