Close handed over sessions outside of calls that refer to them

Cause: a session that a cut off host refuses was erased inside on_executed(), which run_pending() and the executor still refer to when the refusal is immediate. The address sanitizer found it in the random test of session hosts; the plain build passed. Such sessions are now noted and closed by the next tick.

--- a/servers/sessions/session_service.cc
+++ b/servers/sessions/session_service.cc
@@ -62,6 +62,9 @@
   m_next_sweep = now + kSweepInterval;
   settle_waiting(now);
   end_idle_transactions(now);
+  for (const SessionId session : std::exchange(m_handed_over, {})) {
+    close_if_idle(session, now);
+  }
   if (m_stopping_since.has_value() || closes_idle(now)) {
     close_resting(now);
   }
@@ -265,14 +268,13 @@
     return;
   }
   session->second.failure_told = session->second.state == TransactionState::kFailed;
-  m_counters.count(reply.error.has_value() ? "statements_failed" : "statements_served");
+  const bool failed = reply.error.has_value();
+  m_counters.count(failed ? "statements_failed" : "statements_served");
   m_callers.reply(id, reply);
-  const bool refused_here = m_cut_off_since.has_value() && reply.error.has_value();
-  if (refused_here && session->second.state == TransactionState::kIdle && session->second.pending.empty()) {
+  if (m_cut_off_since.has_value() && failed) {
     // The caller's next attempt opens a new session, which the balancer may give to a host that is not cut off.
-    m_sessions.erase(session);
-    m_callers.close_session(id);
-    return;
+    m_handed_over.push_back(id);
+    m_next_sweep = now;
   }
   run_pending(session->second, now);
 }
@@ -320,10 +322,22 @@
     }
   }
   for (const SessionId id : closing) {
-    m_executor.abandon(m_sessions.at(id), now);
-    m_sessions.erase(id);
-    m_callers.close_session(id);
+    close(id, now);
+  }
+}
+
+void SessionService::close_if_idle(SessionId id, TimePoint now) {
+  const auto session = m_sessions.find(id);
+  if (session != m_sessions.end() && session->second.state == TransactionState::kIdle &&
+      !session->second.execution.has_value() && session->second.pending.empty()) {
+    close(id, now);
   }
 }
 
+void SessionService::close(SessionId id, TimePoint now) {
+  m_executor.abandon(m_sessions.at(id), now);
+  m_sessions.erase(id);
+  m_callers.close_session(id);
+}
+
 }  // namespace teaselrudder
--- a/servers/sessions/session_service.h
+++ b/servers/sessions/session_service.h
@@ -3,6 +3,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "core/ports/caller_session_port.h"
 #include "servers/sessions/session.h"
@@ -75,6 +76,8 @@
   void end_idle_transactions(TimePoint now);
   void close_resting(TimePoint now);
   bool closes_idle(TimePoint now) const;
+  void close_if_idle(SessionId id, TimePoint now);
+  void close(SessionId id, TimePoint now);
 
   CallerSessionPort& m_callers;
   Counters& m_counters;
@@ -86,6 +89,8 @@
   std::map<SessionId, WaitingSession> m_waiting;
   TimePoint m_next_sweep;
   std::optional<TimePoint> m_cut_off_since;
+  /// Sessions that were refused because the host is cut off, to be closed once no call refers to them.
+  std::vector<SessionId> m_handed_over;
   std::optional<TimePoint> m_stopping_since;
   Duration m_stop_grace{0};
 };
