Explain failed requests from logs; log on standard output without blocking

The users ask for structured logs on standard output that never block, and for the way from a request's id to its cause. Lines went to standard error, with a write for each, and the way was grep.

--- a/core/ports/member_link_port.h
+++ b/core/ports/member_link_port.h
@@ -2,6 +2,7 @@
 
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "core/ids.h"
@@ -19,6 +20,21 @@
   kRefused,             // The member refused the session for another reason.
 };
 
+/// Returns the name of the kind, as in log lines.
+constexpr std::string_view to_string(MemberLinkErrorKind kind) {
+  switch (kind) {
+    case MemberLinkErrorKind::kUnreachable:
+      return "unreachable";
+    case MemberLinkErrorKind::kWrongMember:
+      return "wrong_member";
+    case MemberLinkErrorKind::kTooManyConnections:
+      return "too_many_connections";
+    case MemberLinkErrorKind::kRefused:
+      return "refused";
+  }
+  return "unreachable";
+}
+
 /// A failed connection attempt.
 struct MemberLinkError {
   MemberLinkErrorKind kind = MemberLinkErrorKind::kUnreachable;
--- a/main/control_program.cc
+++ b/main/control_program.cc
@@ -9,6 +9,7 @@
 
 #include "main/answer_table.h"
 #include "main/endpoint_text.h"
+#include "main/log_commands.h"
 #include "main/operator_client.h"
 
 DEFINE_string(host, "", "operator port of a daemon");
@@ -84,9 +85,14 @@
 int run_control(const std::vector<std::string>& arguments, const Environment& environment, std::istream& in,
                 std::ostream& out, std::ostream& err) {
   if (std::find(arguments.begin(), arguments.end(), "--help") != arguments.end()) {
-    out << "teaselctl --host=ip:port [--check] [--output=table|json] \"command\"\n" << describe_flags(flag_rules());
+    out << "teaselctl --host=ip:port [--check] [--output=table|json] \"command\"\n"
+        << describe_flags(flag_rules()) << "teaselctl explain REQUEST LOG...\n  follows a request through logs\n"
+        << "teaselctl timeline GROUP LOG...\n  shows the failovers of a group\n";
     return kControlDone;
   }
+  if (is_log_command(arguments)) {
+    return run_log_command(arguments, out, err);
+  }
   const auto commands = apply_flags(flag_rules(), arguments, environment);
   const std::string error = commands ? check_usage(*commands) : commands.error();
   if (!error.empty()) {
--- a/main/logging.cc
+++ b/main/logging.cc
@@ -2,8 +2,10 @@
 
 #include <easylogging++.h>
 
-#include <algorithm>
 #include <array>
+#include <utility>
+
+#include "core/event_line.h"
 
 INITIALIZE_EASYLOGGINGPP
 
@@ -19,35 +21,31 @@
     {"error", el::Level::Error},
 }};
 
-bool needs_quotes(std::string_view value) {
-  const auto is_special = [](char character) {
-    return static_cast<unsigned char>(character) <= ' ' || character == '"' || character == '=' || character == '\\' ||
-           character == '\x7f';
-  };
-  return value.empty() || std::any_of(value.begin(), value.end(), is_special);
-}
+/// Hands formatted lines to the sink.
+class SinkDispatch final : public el::LogDispatchCallback {
+ public:
+  static inline LogSink sink;
 
-void append_quoted(std::string& line, std::string_view value) {
-  constexpr std::string_view kDigits = "0123456789abcdef";
-  line.push_back('"');
-  for (const char character : value) {
-    const auto code = static_cast<unsigned char>(character);
-    if (character == '"' || character == '\\') {
-      line.push_back('\\');
-      line.push_back(character);
-    } else if (code < ' ' || code == 0x7f) {
-      line += "\\x";
-      line.push_back(kDigits[code >> 4U]);
-      line.push_back(kDigits[code & 0xfU]);
-    } else {
-      line.push_back(character);
+ protected:
+  void handle(const el::LogDispatchData* data) override {
+    if (!sink) {
+      return;
     }
+    const el::LogMessage* const message = data->logMessage();
+    sink(message->logger()->logBuilder()->build(message, false));
   }
-  line.push_back('"');
-}
+};
 
 }  // namespace
 
+void set_log_sink(LogSink sink) {
+  const bool to_sink = static_cast<bool>(sink);
+  SinkDispatch::sink = std::move(sink);
+  el::Helpers::installLogDispatchCallback<SinkDispatch>("SinkDispatch");
+  el::Helpers::logDispatchCallback<el::base::DefaultLogDispatchCallback>("DefaultLogDispatchCallback")
+      ->setEnabled(!to_sink);
+}
+
 void setup_logging(std::string_view level) {
   el::Configurations configuration;
   configuration.setToDefault();
@@ -63,23 +61,10 @@
   el::Loggers::reconfigureAllLoggers(configuration);
 }
 
-std::string format_log_line(std::string_view event, const LogFields& fields) {
-  std::string line = "event=" + std::string(event);
-  for (const auto& [key, value] : fields) {
-    line.append(" ").append(key).append("=");
-    if (needs_quotes(value)) {
-      append_quoted(line, value);
-    } else {
-      line += value;
-    }
-  }
-  return line;
-}
-
-void log_state_change(std::string_view event, const LogFields& fields) { LOG(INFO) << format_log_line(event, fields); }
+void log_state_change(std::string_view event, const LogFields& fields) { LOG(INFO) << format_event(event, fields); }
 
-void log_warning(std::string_view event, const LogFields& fields) { LOG(WARNING) << format_log_line(event, fields); }
+void log_warning(std::string_view event, const LogFields& fields) { LOG(WARNING) << format_event(event, fields); }
 
-void log_error(std::string_view event, const LogFields& fields) { LOG(ERROR) << format_log_line(event, fields); }
+void log_error(std::string_view event, const LogFields& fields) { LOG(ERROR) << format_event(event, fields); }
 
 }  // namespace teaselrudder
--- a/main/logging.h
+++ b/main/logging.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <string>
 #include <string_view>
 
@@ -10,8 +11,12 @@
 /// Sets up log lines on stderr. `level` is debug, info, warning or error; lines of a lower level are dropped.
 void setup_logging(std::string_view level);
 
-/// Returns `event=<event> key=value ...`. Values that a reader could not tell from the rest of the line are quoted.
-std::string format_log_line(std::string_view event, const LogFields& fields);
+/// Takes one formatted line without its end.
+using LogSink = std::function<void(std::string line)>;
+
+/// Hands all lines to `sink` instead of stderr; an empty sink restores stderr. What the sink refers to must outlive its
+/// use.
+void set_log_sink(LogSink sink);
 
 /// Logs a change of state at level info.
 void log_state_change(std::string_view event, const LogFields& fields);
--- a/tests/main/logging_test.cc
+++ b/tests/main/logging_test.cc
@@ -5,6 +5,8 @@
 #include <iostream>
 #include <sstream>
 
+#include "core/event_line.h"
+
 namespace teaselrudder {
 
 namespace {
@@ -34,9 +36,9 @@
   // Guards against a value of a caller or an upstream that forges a field or a whole line.
   void quotes_values_that_would_break_the_line() {
     CPPUNIT_ASSERT_EQUAL(std::string("event=primary_changed group=g1 term=7"),
-                         format_log_line("primary_changed", {{"group", "g1"}, {"term", "7"}}));
+                         format_event("primary_changed", {{"group", "g1"}, {"term", "7"}}));
     CPPUNIT_ASSERT_EQUAL(std::string(R"(event=e a="" b="x y" c="k=v" d="\"\\" e="\x0a")"),
-                         format_log_line("e", {{"a", ""}, {"b", "x y"}, {"c", "k=v"}, {"d", "\"\\"}, {"e", "\n"}}));
+                         format_event("e", {{"a", ""}, {"b", "x y"}, {"c", "k=v"}, {"d", "\"\\"}, {"e", "\n"}}));
   }
 
   // Guards against log lines between the program's output, and against a level that hides more severe lines.
--- a/tests/model/session_world.cc
+++ b/tests/model/session_world.cc
@@ -1,7 +1,12 @@
 #include "tests/model/session_world.h"
 
+#include <ctime>
+#include <iomanip>
+#include <sstream>
 #include <utility>
 
+#include "core/event_line.h"
+
 namespace teaselrudder::model {
 
 namespace {
@@ -67,6 +72,7 @@
     });
   }
   void log_state_change(std::string_view event, const LogFields& fields) override {
+    m_world.m_logs[m_host] += "time=" + m_world.log_time() + " level=info " + format_event(event, fields) + "\n";
     if (event == "retry" || event == "refused" || event == "member_connection_failed") {
       return;
     }
@@ -108,6 +114,19 @@
 
 Counters& SessionWorld::counters(std::size_t index) { return m_hosts[index]->counters; }
 
+std::string SessionWorld::log_time() const {
+  const std::int64_t ms = to_milliseconds(m_events.now().time_since_epoch());
+  std::ostringstream text;
+  const std::time_t seconds = ms / 1000;
+  text << std::put_time(std::gmtime(&seconds), "%Y-%m-%dT%H:%M:%S.") << std::setw(3) << std::setfill('0') << ms % 1000;
+  return text.str();
+}
+
+std::string SessionWorld::log(std::size_t host) const {
+  const auto found = m_logs.find(host);
+  return found == m_logs.end() ? std::string() : found->second;
+}
+
 void SessionWorld::note(const std::string& line) {
   m_course.push_back(std::to_string(to_milliseconds(m_events.now().time_since_epoch()) - 3600000) + " ms " + line);
 }
@@ -271,6 +290,9 @@
   const SessionStatement statement = caller.sent.front();
   caller.sent.erase(caller.sent.begin());
   check_reply(caller, statement, reply);
+  if (reply.error.has_value()) {
+    caller.failed = statement.id;
+  }
   caller.state = reply.state;
   if (reply.state == TransactionState::kIdle) {
     caller.transaction_writes.clear();
--- a/tests/model/session_world.h
+++ b/tests/model/session_world.h
@@ -38,6 +38,8 @@
     std::optional<StatementErrorCode> rejection;
     std::map<std::string, std::string> values;
     std::map<std::string, std::string> shapes;
+    /// Id of the newest statement that was not served.
+    RequestId failed;
     TransactionState state = TransactionState::kIdle;
     TimePoint began;
     std::vector<std::string> transaction_writes;
@@ -93,6 +95,8 @@
 
   /// Adds a line to the course of the run.
   void note(const std::string& line);
+  /// The log of a host as its process would write it.
+  std::string log(std::size_t host) const;
   /// What happened in the run, without the course of single statements.
   const std::vector<std::string>& course() const { return m_course; }
 
@@ -114,6 +118,7 @@
     ReadFreshness freshness = ReadFreshness::kPrimary;
   };
 
+  std::string log_time() const;
   void start_host(std::size_t index);
   void tick(std::size_t index);
   void on_reply(std::size_t host, SessionId session, const StatementReply& reply);
@@ -136,6 +141,7 @@
   std::set<std::string> m_acknowledged_writes;
   std::vector<std::string> m_broken;
   std::vector<std::string> m_course;
+  std::map<std::size_t, std::string> m_logs;
   std::uint64_t m_next_id = 1;
   std::uint64_t m_next_session = 1;
   std::uint64_t m_version = 0;
