--- a/servers/failover/failover_duty.h
+++ b/servers/failover/failover_duty.h
@@ -62,7 +62,7 @@
   /// `members_current` tells whether the store has lately said which members there are.
   void on_tick(const std::map<GroupId, UpstreamGroup>& groups, const EvidenceBoard& board,
                std::optional<FencingToken> token, std::size_t fleet_size, bool members_current, TimePoint now);
-  TimePoint next_wakeup() const { return m_next_tick; }
+  TimePoint next_wakeup() const { return m_next_look; }
 
   /// True once after the platform refused the token.
   bool take_token_rejected();
@@ -103,7 +103,7 @@
   bool m_on_duty = false;
   std::optional<TimePoint> m_first_tick;
   TimePoint m_now;
-  TimePoint m_next_tick;
+  TimePoint m_next_look;
 };
 
 }  // namespace teaselrudder
