--- a/servers/session_host/report_ring.h
+++ b/servers/session_host/report_ring.h
@@ -11,7 +11,7 @@
 
 /// Which hosts report to one another. In a small fleet all do. In a large one each host exchanges reports with its
 /// neighbours on a ring, so that a host's reports do not grow with the fleet, and with the holder of the failover duty,
-/// which has to hear everyone. The ring is in the order of hashes, which mixes failure domains.
+/// which has to hear everyone. The ring is in rendezvous order, which mixes failure domains.
 class ReportRing {
  public:
   /// Neighbours on each side. With ten in all, a host in a failure domain that is cut off hears a clear minority.
