--- a/servers/sessions/session_service.cc
+++ b/servers/sessions/session_service.cc
@@ -11,6 +11,9 @@
 /// Time between two looks at resting sessions and waiting callers.
 constexpr Duration kSweepInterval = std::chrono::milliseconds(100);
 
+/// Tells whether nothing of the session's statements is under way.
+bool is_at_rest(const Session& session) { return !session.execution.has_value() && session.pending.empty(); }
+
 }  // namespace
 
 SessionService::SessionService(CallerSessionPort& callers, ExecutorServices services)
@@ -56,21 +59,23 @@
 
 void SessionService::on_tick(TimePoint now) {
   m_executor.on_tick(now);
+  for (const SessionId session : std::exchange(m_handed_over, {})) {
+    close_if_idle(session, now);
+  }
   if (now < m_next_sweep) {
     return;
   }
   m_next_sweep = now + kSweepInterval;
   settle_waiting(now);
   end_idle_transactions(now);
-  for (const SessionId session : std::exchange(m_handed_over, {})) {
-    close_if_idle(session, now);
-  }
   if (m_stopping_since.has_value() || closes_idle(now)) {
     close_resting(now);
   }
 }
 
-TimePoint SessionService::next_wakeup() const { return std::min(m_executor.next_wakeup(), m_next_sweep); }
+TimePoint SessionService::next_wakeup() const {
+  return m_handed_over.empty() ? std::min(m_executor.next_wakeup(), m_next_sweep) : TimePoint();
+}
 
 void SessionService::on_session_opened(SessionId session, const DatabaseName& database, TimePoint now) {
   m_counters.count("sessions_opened");
@@ -274,7 +279,6 @@
   if (m_cut_off_since.has_value() && failed) {
     // The caller's next attempt opens a new session, which the balancer may give to a host that is not cut off.
     m_handed_over.push_back(id);
-    m_next_sweep = now;
   }
   run_pending(session->second, now);
 }
@@ -309,7 +313,7 @@
   const bool closes = closes_idle(now);
   std::vector<SessionId> closing;
   for (auto& [id, session] : m_sessions) {
-    if (session.execution.has_value() || !session.pending.empty()) {
+    if (!is_at_rest(session)) {
       continue;
     }
     if (session.state == TransactionState::kIdle) {
@@ -328,8 +332,7 @@
 
 void SessionService::close_if_idle(SessionId id, TimePoint now) {
   const auto session = m_sessions.find(id);
-  if (session != m_sessions.end() && session->second.state == TransactionState::kIdle &&
-      !session->second.execution.has_value() && session->second.pending.empty()) {
+  if (session != m_sessions.end() && session->second.state == TransactionState::kIdle && is_at_rest(session->second)) {
     close(id, now);
   }
 }
--- a/servers/sessions/statement_executor.h
+++ b/servers/sessions/statement_executor.h
@@ -138,7 +138,6 @@
   std::optional<PreparedStatement> needed_statement(const Session& session) const;
 
   // Replies.
-  void on_check_reply(Session& session, UpstreamGroup& group, MemberConnection& connection, TimePoint now);
   void on_begin_reply(Session& session, UpstreamGroup& group, MemberConnection& connection, const StatementReply& reply,
                       TimePoint sent_at, TimePoint now);
   void on_statement_reply(Session& session, UpstreamGroup& group, MemberConnection& connection, StatementReply reply,
@@ -158,6 +157,9 @@
 
   // Ends.
   void release(MemberConnection& connection);
+  /// Takes the session off a transaction in which nothing of it has run; `state` is what the member said of it.
+  void leave_transaction(Session& session, UpstreamGroup& group, MemberConnection& connection, TransactionState state,
+                         TimePoint now);
   void send_rollback(UpstreamGroup& group, MemberConnection& connection, TimePoint now);
   void lose_connection(Session& session, UpstreamGroup& group, const MemberId& member, TimePoint now);
   void finish(Session& session, StatementReply reply, TimePoint now);
--- a/servers/sessions/statement_replies.cc
+++ b/servers/sessions/statement_replies.cc
@@ -83,7 +83,7 @@
       }
       return;
     case ReplyPurpose::kCheck:
-      on_check_reply(*session, group, *connection, now);
+      send_statement(*session, group, *connection, now);
       break;
     case ReplyPurpose::kBegin:
       on_begin_reply(*session, group, *connection, reply, expected->sent_at, now);
@@ -154,11 +154,6 @@
   }
 }
 
-void StatementExecutor::on_check_reply(Session& session, UpstreamGroup& group, MemberConnection& connection,
-                                       TimePoint now) {
-  send_statement(session, group, connection, now);
-}
-
 void StatementExecutor::on_begin_reply(Session& session, UpstreamGroup& group, MemberConnection& connection,
                                        const StatementReply& reply, TimePoint sent_at, TimePoint now) {
   if (!reply.error.has_value()) {
@@ -169,17 +164,22 @@
     return;
   }
   const MemberId member = connection.member;
+  leave_transaction(session, group, connection, reply.state, now);
+  if (*reply.error == StatementErrorCode::kReadOnly) {
+    doubt_primary(group, now);
+  }
+  retry(session, group, member, *reply.error, retry_pause(*reply.error, session.execution->attempts), now);
+}
+
+void StatementExecutor::leave_transaction(Session& session, UpstreamGroup& group, MemberConnection& connection,
+                                          TransactionState state, TimePoint now) {
   session.pinned.reset();
-  if (reply.state == TransactionState::kIdle) {
+  if (state == TransactionState::kIdle) {
     connection.in_transaction = false;
     release(connection);
   } else {
     send_rollback(group, connection, now);
   }
-  if (*reply.error == StatementErrorCode::kReadOnly) {
-    doubt_primary(group, now);
-  }
-  retry(session, group, member, *reply.error, retry_pause(*reply.error, session.execution->attempts), now);
 }
 
 void StatementExecutor::on_statement_reply(Session& session, UpstreamGroup& group, MemberConnection& connection,
@@ -281,13 +281,7 @@
   // Nothing has run in a transaction whose first statement was not run, so it can begin anew.
   if (is_not_run(code) && !session.transaction_used && !commits) {
     const MemberId member = connection.member;
-    session.pinned.reset();
-    if (reply.state == TransactionState::kIdle) {
-      connection.in_transaction = false;
-      release(connection);
-    } else {
-      send_rollback(group, connection, now);
-    }
+    leave_transaction(session, group, connection, reply.state, now);
     retry(session, group, member, code, retry_pause(code, execution.attempts), now);
     return;
   }
