--- a/main/log_commands.cc
+++ b/main/log_commands.cc
@@ -34,7 +34,6 @@
     }
     logs.add(arguments[index], file);
   }
-  logs.sort();
   for (const auto& [what, count] : logs.bad_lines()) {
     err << "teaselctl: " << count << " lines left out, " << what << std::endl;
   }
--- a/servers/catalogue/leased_record.cc
+++ b/servers/catalogue/leased_record.cc
@@ -132,6 +132,10 @@
       {{"key", m_key}, {"cause", cause}, {"revision", std::to_string(m_revision.value_or(StoreRevision(0)).value())}});
   m_counters.count("store_records_lost");
   release();
+  back_off(now);
+}
+
+void LeasedRecord::back_off(TimePoint now) {
   m_next_attempt = now + backoff_delay(m_failures, kMinPause, kMaxPause, m_random.next_unit());
   ++m_failures;
 }
@@ -168,8 +172,7 @@
     m_log.log_state_change("lease_failed",
                            {{"key", m_key}, {"cause", outcome.has_value() ? "bad answer" : outcome.error().message}});
     m_state = State::kAbsent;
-    m_next_attempt = now + backoff_delay(m_failures, kMinPause, kMaxPause, m_random.next_unit());
-    ++m_failures;
+    back_off(now);
     return;
   }
   m_lease = std::get<LeaseId>(*outcome);
--- a/servers/catalogue/leased_record.h
+++ b/servers/catalogue/leased_record.h
@@ -58,6 +58,7 @@
   enum class State { kAbsent, kGranting, kWriting, kHeld };
 
   void begin(TimePoint now);
+  void back_off(TimePoint now);
   void lose(const std::string& cause, TimePoint now);
   void on_granted(tl::expected<CoordinationResult, CoordinationError> outcome, TimePoint now);
   void on_written(tl::expected<CoordinationResult, CoordinationError> outcome, TimePoint now);
--- a/servers/explain/log_archive.cc
+++ b/servers/explain/log_archive.cc
@@ -24,9 +24,6 @@
     }
     m_lines.push_back(std::move(*line));
   }
-}
-
-void LogArchive::sort() {
   std::stable_sort(m_lines.begin(), m_lines.end(),
                    [](const EventLine& left, const EventLine& right) { return left.time < right.time; });
 }
--- a/servers/explain/log_archive.h
+++ b/servers/explain/log_archive.h
@@ -16,9 +16,6 @@
   /// `name`. Lines that cannot be read are counted.
   void add(const std::string& name, std::istream& log);
 
-  /// Sorts what was added; call it before lines().
-  void sort();
-
   const std::vector<EventLine>& lines() const { return m_lines; }
 
   /// Returns what was wrong with lines that could not be read, with the number of such lines.
--- a/tests/model/session_world.cc
+++ b/tests/model/session_world.cc
@@ -221,6 +221,14 @@
   return m_callers.size() - 1;
 }
 
+std::vector<std::size_t> SessionWorld::open_sessions(const DatabaseName& database) {
+  std::vector<std::size_t> sessions;
+  for (std::size_t host = 0; host < m_hosts.size(); ++host) {
+    sessions.push_back(open_session(host, database));
+  }
+  return sessions;
+}
+
 void SessionWorld::send(std::size_t index, StatementKind kind, const std::string& name, const std::string& argument,
                         StatementAccess access) {
   Caller& caller = m_callers[index];
--- a/tests/model/session_world.h
+++ b/tests/model/session_world.h
@@ -51,6 +51,9 @@
   /// Opens a session; run the world until it is accepted.
   std::size_t open_session(std::size_t host, const DatabaseName& database);
 
+  /// Opens one session at each host, and returns them in the order of the hosts.
+  std::vector<std::size_t> open_sessions(const DatabaseName& database);
+
   /// Sends a statement; ids are given out by the world.
   void send(std::size_t caller, StatementKind kind, const std::string& name = {}, const std::string& argument = "x",
             StatementAccess access = StatementAccess::kRead);
--- a/tests/servers/explain/log_explainer_test.cc
+++ b/tests/servers/explain/log_explainer_test.cc
@@ -61,7 +61,6 @@
         "time=2026-01-01T00:00:00.003 level=info event=refused request=r2 code=busy ran=no\n");
     LogArchive logs;
     logs.add("file", text);
-    logs.sort();
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, logs.bad_lines().size());
     CPPUNIT_ASSERT_EQUAL(std::size_t{3}, logs.lines().size());
     CPPUNIT_ASSERT_EQUAL(std::string("h2"), logs.lines().front().host);
@@ -217,7 +216,6 @@
       std::istringstream text(world.log(host));
       logs.add("host" + std::to_string(host), text);
     }
-    logs.sort();
     CPPUNIT_ASSERT(logs.bad_lines().empty());
     return logs;
   }
--- a/tests/servers/sessions/session_host_cut_test.cc
+++ b/tests/servers/sessions/session_host_cut_test.cc
@@ -3,6 +3,7 @@
 
 #include "servers/session_host/session_host.h"
 #include "tests/model/session_world.h"
+#include "tests/servers/sessions/expect_unbroken.h"
 
 namespace teaselrudder {
 
@@ -194,12 +195,6 @@
     }
     expect_unbroken(world);
   }
-
- private:
-  static void expect_unbroken(const SessionWorld& world) {
-    const std::vector<std::string> broken = world.broken();
-    CPPUNIT_ASSERT_MESSAGE(broken.empty() ? "" : broken.front(), broken.empty());
-  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(SessionHostCutTest);
--- a/tests/servers/sessions/session_host_test.cc
+++ b/tests/servers/sessions/session_host_test.cc
@@ -3,6 +3,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include "tests/model/session_world.h"
+#include "tests/servers/sessions/expect_unbroken.h"
 
 namespace teaselrudder {
 
@@ -207,10 +208,7 @@
   // before (ripewell-ops, trouble-1).
   void second_replacement_keeps_the_whole_log() {
     SessionWorld world(3);
-    std::vector<std::size_t> callers;
-    for (std::size_t host = 0; host < 3; ++host) {
-      callers.push_back(world.open_session(host, SessionWorld::kPrimaryReads));
-    }
+    const std::vector<std::size_t> callers = world.open_sessions(SessionWorld::kPrimaryReads);
     world.members().member(2).deaf = true;
     for (int round = 0; round < 10; ++round) {
       world.ask(callers[0], StatementKind::kWrite);
@@ -450,10 +448,7 @@
 
   /// Opens a session at each host, and has commits acknowledged by replica 1 alone, whose entry the hosts cannot read.
   static std::vector<std::size_t> acknowledge_through_an_unknown_replica(SessionWorld& world) {
-    std::vector<std::size_t> callers;
-    for (std::size_t host = 0; host < 3; ++host) {
-      callers.push_back(world.open_session(host, SessionWorld::kPrimaryReads));
-    }
+    const std::vector<std::size_t> callers = world.open_sessions(SessionWorld::kPrimaryReads);
     world.members().crash(1, false);
     world.publish_members();
     world.run_for(kSecond);
@@ -467,11 +462,6 @@
     }
     return callers;
   }
-
-  static void expect_unbroken(const SessionWorld& world) {
-    const std::vector<std::string> broken = world.broken();
-    CPPUNIT_ASSERT_MESSAGE(broken.empty() ? "" : broken.front(), broken.empty());
-  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(SessionHostTest);
