--- a/servers/failover/failover_duty.cc
+++ b/servers/failover/failover_duty.cc
@@ -35,10 +35,7 @@
   m_groups = &groups;
   m_first_tick = m_first_tick.value_or(now);
   m_now = now;
-  const bool looks = now >= m_next_look;
-  if (looks) {
-    m_next_look = now + kInterval;
-  }
+  m_next_tick = now + kInterval;
   m_links.on_tick(now);
   if (!token.has_value()) {
     leave_duty();
@@ -66,7 +63,7 @@
     }
     // Before anything begins, so that the first answers already meet the present token and list of members.
     watched.replacement->on_tick(group, *token, members_current, now);
-    if (looks && !watched.replacement->is_running()) {
+    if (!watched.replacement->is_running()) {
       watch(group, watched, board, fleet_size, now);
     }
   }
--- a/servers/failover/failover_duty.h
+++ b/servers/failover/failover_duty.h
@@ -41,7 +41,7 @@
 /// leave.
 class FailoverDuty final : private PromotionEvents {
  public:
-  /// Time between two looks at all groups.
+  /// Longest time between two looks at all groups; each tick of the host looks at them.
   static constexpr Duration kInterval = std::chrono::milliseconds(50);
   /// Silence of a primary on callers' connections after which it is asked for its status.
   static constexpr Duration kProbeAfter = std::chrono::milliseconds(300);
@@ -62,7 +62,7 @@
   /// `members_current` tells whether the store has lately said which members there are.
   void on_tick(const std::map<GroupId, UpstreamGroup>& groups, const EvidenceBoard& board,
                std::optional<FencingToken> token, std::size_t fleet_size, bool members_current, TimePoint now);
-  TimePoint next_wakeup() const { return m_next_look; }
+  TimePoint next_wakeup() const { return m_next_tick; }
 
   /// True once after the platform refused the token.
   bool take_token_rejected();
@@ -103,7 +103,7 @@
   bool m_on_duty = false;
   std::optional<TimePoint> m_first_tick;
   TimePoint m_now;
-  TimePoint m_next_look;
+  TimePoint m_next_tick;
 };
 
 }  // namespace teaselrudder
