--- a/tests/platform/line_codec_test.cc
+++ b/tests/platform/line_codec_test.cc
@@ -63,21 +63,24 @@
     }));
   }
 
-  // Guards against rows, signature or state of one answer that end up in another.
+  // Guards against rows, signature or state of one answer that end up in another, and against rows that are dropped.
   void replies_are_joined_from_lines() {
     MemberReplyReader reader;
     CPPUNIT_ASSERT(!reader.take("ROW a b").value().has_value());
+    CPPUNIT_ASSERT(!reader.take("ROW c").value().has_value());
     CPPUNIT_ASSERT(!reader.take("COMPLETE 7.1f3").value().has_value());
     const auto first = reader.take("READY T 3.1209").value();
     CPPUNIT_ASSERT(first.has_value());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, first->rows.size());
     CPPUNIT_ASSERT_EQUAL(std::string("a b"), first->rows.at(0));
+    CPPUNIT_ASSERT_EQUAL(std::string("c"), first->rows.at(1));
     CPPUNIT_ASSERT(first->state == TransactionState::kOpen);
     CPPUNIT_ASSERT((first->position == LogPoint{Term(3), LogPosition(1209)}));
     CPPUNIT_ASSERT(!reader.take("ERROR READONLY i-7f").value().has_value());
     const auto second = reader.take("READY E -").value();
     CPPUNIT_ASSERT(second->error == StatementErrorCode::kReadOnly && second->rows.empty());
     CPPUNIT_ASSERT(!second->position.has_value());
-    CPPUNIT_ASSERT_EQUAL(std::string("ROW a b\r\nCOMPLETE 7.1f3\r\nREADY T 3.1209\r\n"), encode_reply(*first));
+    CPPUNIT_ASSERT_EQUAL(std::string("ROW a b\r\nROW c\r\nCOMPLETE 7.1f3\r\nREADY T 3.1209\r\n"), encode_reply(*first));
   }
 
   // Guards against an answer without its end that is taken for a whole one.
