--- a/tests/servers/sessions/session_host_test.cc
+++ b/tests/servers/sessions/session_host_test.cc
@@ -448,7 +448,7 @@
 
   /// Opens a session at each host, and has commits acknowledged by replica 1 alone, whose entry the hosts cannot read.
   static std::vector<std::size_t> acknowledge_through_an_unknown_replica(SessionWorld& world) {
-    const std::vector<std::size_t> callers = world.open_sessions(SessionWorld::kPrimaryReads);
+    std::vector<std::size_t> callers = world.open_sessions(SessionWorld::kPrimaryReads);
     world.members().crash(1, false);
     world.publish_members();
     world.run_for(kSecond);
