Judge promises in a class of its own, shown to catch a planted fault for each rule

Cause: the checks of what callers were promised were part of the world of session hosts under virtual time, where a soak of real processes cannot use them, and no test showed that they find anything. Change: PromiseChecker holds them. It shares nothing with the product's decisions. Test: PromiseCheckerTest plants MIXED, PINNED, UNASKED, TWICE, REFUSED, STALE and LOST.

--- /dev/null
+++ b/tests/model/promise_checker.cc
@@ -0,0 +1,177 @@
+#include "tests/model/promise_checker.h"
+
+#include <algorithm>
+
+namespace teaselrudder::model {
+
+namespace {
+
+std::string to_text(const LogPoint& point) {
+  return std::to_string(point.term.value()) + "." + std::to_string(point.position.value());
+}
+
+}  // namespace
+
+std::size_t PromiseChecker::add_session(ReadFreshness freshness) {
+  m_sessions.emplace_back().freshness = freshness;
+  return m_sessions.size() - 1;
+}
+
+bool PromiseChecker::writes(const SessionStatement& statement) {
+  return statement.kind == StatementKind::kWrite ||
+         (statement.kind == StatementKind::kExecute && statement.access == StatementAccess::kWrite);
+}
+
+void PromiseChecker::on_sent(std::size_t number, const SessionStatement& statement, TimePoint now) {
+  Session& session = m_sessions.at(number);
+  SentStatement sent;
+  sent.statement = statement;
+  sent.values = session.values;
+  sent.in_transaction = session.state == TransactionState::kOpen;
+  sent.since = sent.in_transaction ? session.began : now;
+  sent.own_commit = session.own_commit;
+  sent.freshness = session.freshness;
+  if (statement.kind == StatementKind::kExecute && session.shapes.contains(statement.name)) {
+    sent.shape = session.shapes.at(statement.name);
+  }
+  if (statement.kind == StatementKind::kBegin || statement.kind == StatementKind::kBeginReadOnly) {
+    session.began = now;
+    session.writes.clear();
+  }
+  sent.transaction = {number, session.began};
+  m_sent[statement.id.value()] = std::move(sent);
+}
+
+void PromiseChecker::on_reply(std::size_t number, const SessionStatement& statement, const StatementReply& reply) {
+  Session& session = m_sessions.at(number);
+  if (reply.error.has_value()) {
+    if (is_not_run(*reply.error) || *reply.error == StatementErrorCode::kAborted) {
+      if (writes(statement)) {
+        m_refused_writes.insert(statement.id.value());
+      }
+      m_refused_writes.insert(session.writes.begin(), session.writes.end());
+    }
+  } else {
+    on_success(session, statement, reply);
+  }
+  session.state = reply.state;
+  if (reply.state == TransactionState::kIdle) {
+    session.writes.clear();
+  }
+}
+
+void PromiseChecker::on_success(Session& session, const SessionStatement& statement, const StatementReply& reply) {
+  const std::string& id = statement.id.value();
+  const bool write = writes(statement);
+  switch (statement.kind) {
+    case StatementKind::kSetValue:
+      session.values[statement.name] = statement.argument;
+      return;
+    case StatementKind::kPrepare:
+      session.shapes[statement.name] = statement.argument;
+      return;
+    case StatementKind::kDeallocate:
+      session.shapes.erase(statement.name);
+      return;
+    case StatementKind::kRead:
+    case StatementKind::kWrite:
+    case StatementKind::kExecute:
+      if (reply.rows != std::vector<std::string>{"row " + id} && !(write && reply.rows.empty())) {
+        m_broken.push_back("MIXED: answer of another statement for " + id);
+      }
+      break;
+    default:
+      break;
+  }
+  if (reply.signature.empty() && (write || statement.kind == StatementKind::kRead)) {
+    m_broken.push_back("MIXED: success without a signature for " + id);
+  }
+  const bool single_write = write && !m_sent.at(id).in_transaction;
+  if (write && !single_write) {
+    session.writes.push_back(id);
+  }
+  if (single_write) {
+    m_acknowledged_writes.insert(id);
+  }
+  if (statement.kind == StatementKind::kCommit) {
+    m_acknowledged_writes.insert(session.writes.begin(), session.writes.end());
+  }
+  if ((single_write || (statement.kind == StatementKind::kCommit && !session.writes.empty())) &&
+      reply.position.has_value()) {
+    session.own_commit = std::max(session.own_commit, *reply.position);
+  }
+}
+
+void PromiseChecker::on_run(const RequestId& id, const StatementRun& run) {
+  const auto found = m_sent.find(id.value());
+  if (found == m_sent.end()) {
+    m_broken.push_back("UNASKED: member ran " + id.value());
+    return;
+  }
+  const SentStatement& sent = found->second;
+  if (run.values != sent.values) {
+    m_broken.push_back("PINNED: other session values for " + id.value());
+  }
+  if (sent.statement.kind == StatementKind::kExecute && run.shape != sent.shape) {
+    m_broken.push_back("PINNED: other shape for " + id.value());
+  }
+  check_place(sent, run);
+  if (!writes(sent.statement)) {
+    check_age(sent, run);
+  }
+}
+
+void PromiseChecker::check_place(const SentStatement& sent, const StatementRun& run) {
+  const std::string& id = sent.statement.id.value();
+  if (!sent.in_transaction) {
+    if (writes(sent.statement) && run.in_transaction) {
+      m_broken.push_back("PINNED: single write inside a transaction: " + id);
+    }
+    return;
+  }
+  if (!run.in_transaction) {
+    m_broken.push_back("PINNED: outside its transaction: " + id);
+  }
+  const std::pair<std::string, std::uint64_t> place(run.member, run.connection);
+  const auto [first, added] = m_transaction_places.try_emplace(sent.transaction, place);
+  if (!added && first->second != place) {
+    m_broken.push_back("PINNED: on another connection than its transaction: " + id);
+  }
+}
+
+void PromiseChecker::check_age(const SentStatement& sent, const StatementRun& run) {
+  const std::string& id = sent.statement.id.value();
+  const TimePoint limit = sent.freshness == ReadFreshness::kPrimary ? sent.since : sent.since - m_max_staleness;
+  const LogPoint needed = m_members.acknowledged_before(limit);
+  if (run.applied < needed) {
+    m_broken.push_back("STALE: " + id + " at " + run.member + " with " + to_text(run.applied) + " instead of " +
+                       to_text(needed) + (run.in_transaction ? " in a transaction" : ""));
+  }
+  if (sent.freshness == ReadFreshness::kOwnWrites && run.applied < sent.own_commit) {
+    m_broken.push_back("STALE: own commit is missing for " + id);
+  }
+}
+
+std::vector<std::string> PromiseChecker::broken() const {
+  std::vector<std::string> lines = m_broken;
+  for (const ModelCommit& commit : m_members.lost()) {
+    lines.push_back("LOST: commit " + std::to_string(commit.position.position.value()) + " of term " +
+                    std::to_string(commit.position.term.value()));
+  }
+  for (const std::string& id : m_members.doubled()) {
+    lines.push_back("TWICE: " + id);
+  }
+  for (const std::string& id : m_refused_writes) {
+    if (m_members.is_committed(id)) {
+      lines.push_back("REFUSED: " + id + " was committed");
+    }
+  }
+  for (const std::string& id : m_acknowledged_writes) {
+    if (!m_members.is_committed(id)) {
+      lines.push_back("LOST: acknowledged write " + id);
+    }
+  }
+  return lines;
+}
+
+}  // namespace teaselrudder::model
--- /dev/null
+++ b/tests/model/promise_checker_test.cc
@@ -0,0 +1,175 @@
+#include "tests/model/promise_checker.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace teaselrudder::model {
+
+namespace {
+
+using std::chrono::seconds;
+
+SessionStatement statement(const std::string& id, StatementKind kind, const std::string& name = {}) {
+  SessionStatement made;
+  made.id = RequestId(id);
+  made.kind = kind;
+  made.name = name;
+  made.argument = "x";
+  return made;
+}
+
+StatementReply success(const std::string& id, TransactionState state = TransactionState::kIdle) {
+  StatementReply reply;
+  reply.rows = {"row " + id};
+  reply.signature = "m0";
+  reply.state = state;
+  return reply;
+}
+
+StatementReply failure(StatementErrorCode code) {
+  StatementReply reply;
+  reply.error = code;
+  return reply;
+}
+
+/// A checker with one session, and members that obey.
+class PlantedFault : public MemberLinkEvents {
+ public:
+  PlantedFault() : checker(members, seconds(1)), session(checker.add_session(ReadFreshness::kPrimary)) {
+    members.observe_runs([this](const RequestId& id, const StatementRun& run) { checker.on_run(id, run); });
+    members.open_link(ConnectionId(1), {members.group(), members.member(0).entry.member, {}}, *this);
+    events.run_for(seconds(1));
+  }
+
+  void on_link_opened(ConnectionId, tl::expected<void, MemberLinkError>, TimePoint) override {}
+  void on_link_reply(ConnectionId, StatementReply, TimePoint) override {}
+  void on_link_closed(ConnectionId, TimePoint) override {}
+
+  /// The member gets a write with this id.
+  void run_write(const std::string& id) {
+    MemberCommand command = own_command(MemberCommandKind::kWrite);
+    command.id = RequestId(id);
+    members.send(ConnectionId(1), {command});
+    events.run_for(seconds(1));
+  }
+
+  void ask(const SessionStatement& sent) { checker.on_sent(session, sent, events.now()); }
+
+  /// Fails unless a line that begins with `rule` names a broken promise.
+  void expect(const std::string& rule) const {
+    const std::vector<std::string> lines = checker.broken();
+    CPPUNIT_ASSERT_MESSAGE(rule, !lines.empty());
+    for (const std::string& line : lines) {
+      CPPUNIT_ASSERT_MESSAGE(line, line.starts_with(rule));
+    }
+  }
+
+  EventQueue events;
+  ReplicatedMembers members{events, GroupId("ledger"), 3};
+  PromiseChecker checker;
+  std::size_t session;
+};
+
+/// Plants one fault for each rule. Guards against a judge that lets it pass, and with it every run that it judges.
+class PromiseCheckerTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(PromiseCheckerTest);
+  CPPUNIT_TEST(lawful_history_passes);
+  CPPUNIT_TEST(finds_answers_of_others);
+  CPPUNIT_TEST(finds_statements_that_nobody_sent);
+  CPPUNIT_TEST(finds_statements_in_the_wrong_place);
+  CPPUNIT_TEST(finds_doubled_and_refused_writes);
+  CPPUNIT_TEST(finds_lost_writes);
+  CPPUNIT_TEST(finds_stale_reads);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void lawful_history_passes() {
+    PlantedFault fault;
+    fault.ask(statement("w1", StatementKind::kWrite));
+    fault.run_write("w1");
+    fault.checker.on_reply(fault.session, statement("w1", StatementKind::kWrite), success("w1"));
+    CPPUNIT_ASSERT(fault.checker.broken().empty());
+  }
+
+  void finds_answers_of_others() {
+    PlantedFault rows;
+    rows.ask(statement("r1", StatementKind::kRead));
+    rows.checker.on_reply(rows.session, statement("r1", StatementKind::kRead), success("r2"));
+    rows.expect("MIXED");
+    PlantedFault unsigned_answer;
+    unsigned_answer.ask(statement("r1", StatementKind::kRead));
+    StatementReply reply = success("r1");
+    reply.signature.clear();
+    unsigned_answer.checker.on_reply(unsigned_answer.session, statement("r1", StatementKind::kRead), reply);
+    unsigned_answer.expect("MIXED");
+  }
+
+  void finds_statements_that_nobody_sent() {
+    PlantedFault fault;
+    fault.run_write("w1");
+    fault.expect("UNASKED");
+  }
+
+  void finds_statements_in_the_wrong_place() {
+    StatementRun run;
+    run.member = "m0";
+    PlantedFault outside;
+    outside.ask(statement("b", StatementKind::kBegin));
+    outside.checker.on_reply(outside.session, statement("b", StatementKind::kBegin),
+                             success("b", TransactionState::kOpen));
+    outside.ask(statement("r1", StatementKind::kRead));
+    outside.checker.on_run(RequestId("r1"), run);
+    outside.expect("PINNED");
+    PlantedFault values;
+    values.ask(statement("r1", StatementKind::kRead));
+    run.values = {{"a", "of another session"}};
+    values.checker.on_run(RequestId("r1"), run);
+    values.expect("PINNED");
+    PlantedFault shape;
+    shape.ask(statement("p", StatementKind::kPrepare, "s"));
+    shape.checker.on_reply(shape.session, statement("p", StatementKind::kPrepare, "s"), success("p"));
+    shape.ask(statement("e", StatementKind::kExecute, "s"));
+    run.values.clear();
+    run.shape = "y";
+    shape.checker.on_run(RequestId("e"), run);
+    shape.expect("PINNED");
+  }
+
+  void finds_doubled_and_refused_writes() {
+    PlantedFault twice;
+    twice.ask(statement("w1", StatementKind::kWrite));
+    twice.run_write("w1");
+    twice.run_write("w1");
+    twice.expect("TWICE");
+    PlantedFault refused;
+    refused.ask(statement("w1", StatementKind::kWrite));
+    refused.run_write("w1");
+    refused.checker.on_reply(refused.session, statement("w1", StatementKind::kWrite),
+                             failure(StatementErrorCode::kBusy));
+    refused.expect("REFUSED");
+  }
+
+  void finds_lost_writes() {
+    PlantedFault fault;
+    fault.ask(statement("w1", StatementKind::kWrite));
+    fault.checker.on_reply(fault.session, statement("w1", StatementKind::kWrite), success("w1"));
+    fault.expect("LOST");
+  }
+
+  void finds_stale_reads() {
+    PlantedFault fault;
+    fault.ask(statement("w1", StatementKind::kWrite));
+    fault.run_write("w1");
+    fault.ask(statement("r1", StatementKind::kRead));
+    StatementRun run;
+    run.member = "m1";
+    run.applied = {Term(1), LogPosition(0)};
+    fault.checker.on_run(RequestId("r1"), run);
+    fault.expect("STALE");
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PromiseCheckerTest);
+
+}  // namespace
+
+}  // namespace teaselrudder::model
--- a/tests/model/session_world.cc
+++ b/tests/model/session_world.cc
@@ -89,7 +89,10 @@
 };
 
 SessionWorld::SessionWorld(std::size_t hosts, std::uint64_t seed)
-    : m_random(seed), m_members(m_events, GroupId("ledger"), 3), m_store(m_events) {
+    : m_random(seed),
+      m_members(m_events, GroupId("ledger"), 3),
+      m_store(m_events),
+      m_checker(m_members, kMaxStaleness) {
   m_members.is_cut_from_host = [this](std::size_t links, std::size_t member) {
     const std::size_t host = links / kLivesOfHost;
     return m_isolated_hosts.contains(host) != m_isolated_members.contains(member) ||
@@ -98,7 +101,7 @@
   m_members.is_cut_between = [this](std::size_t from, std::size_t to) {
     return m_isolated_members.contains(from) != m_isolated_members.contains(to);
   };
-  m_members.observe_runs([this](const RequestId& id, const StatementRun& run) { on_run(id, run); });
+  m_members.observe_runs([this](const RequestId& id, const StatementRun& run) { m_checker.on_run(id, run); });
   publish_routes();
   publish_members();
   for (std::size_t index = 0; index < hosts; ++index) {
@@ -213,6 +216,9 @@
   caller.host = host;
   caller.session = SessionId(m_next_session++);
   caller.database = database;
+  caller.checked = m_checker.add_session(
+      database == kPrimaryReads ? ReadFreshness::kPrimary
+                                : (database == kBoundedReads ? ReadFreshness::kBounded : ReadFreshness::kOwnWrites));
   m_callers.push_back(caller);
   m_by_session[{host, caller.session}] = m_callers.size() - 1;
   if (m_hosts[host]->host != nullptr) {
@@ -238,25 +244,7 @@
   statement.name = name;
   statement.argument = argument;
   statement.access = access;
-  SentStatement sent;
-  sent.caller = index;
-  sent.statement = statement;
-  sent.values = caller.values;
-  sent.in_transaction = caller.state == TransactionState::kOpen;
-  sent.since = sent.in_transaction ? caller.began : m_events.now();
-  sent.own_commit = caller.own_commit;
-  sent.freshness = caller.database == kPrimaryReads
-                       ? ReadFreshness::kPrimary
-                       : (caller.database == kBoundedReads ? ReadFreshness::kBounded : ReadFreshness::kOwnWrites);
-  if (kind == StatementKind::kExecute && caller.shapes.contains(name)) {
-    sent.shape = caller.shapes.at(name);
-  }
-  if (kind == StatementKind::kBegin || kind == StatementKind::kBeginReadOnly) {
-    caller.began = m_events.now();
-    caller.transaction_writes.clear();
-  }
-  sent.transaction = static_cast<std::uint64_t>(caller.began.time_since_epoch().count()) * 4096 + index;
-  m_sent[statement.id.value()] = sent;
+  m_checker.on_sent(caller.checked, statement, m_events.now());
   caller.sent.push_back(statement);
   if (m_hosts[caller.host]->host != nullptr) {
     m_hosts[caller.host]->host->sessions().on_statement(caller.session, statement, m_events.now());
@@ -269,7 +257,7 @@
   send(index, kind, name, argument, access);
   run_until([&] { return m_callers[index].replies.size() > before; }, std::chrono::seconds(10));
   if (m_callers[index].replies.size() == before) {
-    m_broken.push_back("statement of caller " + std::to_string(index) + " got no reply within 10 s");
+    m_checker.add("statement of caller " + std::to_string(index) + " got no reply within 10 s");
     StatementReply none;
     none.error = StatementErrorCode::kUnrecognized;
     return none;
@@ -292,121 +280,19 @@
   }
   Caller& caller = m_callers[found->second];
   if (caller.sent.empty()) {
-    m_broken.emplace_back("reply to nothing");
+    m_checker.add("reply to nothing");
     return;
   }
   const SessionStatement statement = caller.sent.front();
   caller.sent.erase(caller.sent.begin());
-  check_reply(caller, statement, reply);
+  m_checker.on_reply(caller.checked, statement, reply);
   if (reply.error.has_value()) {
     caller.failed = statement.id;
   }
   caller.state = reply.state;
-  if (reply.state == TransactionState::kIdle) {
-    caller.transaction_writes.clear();
-  }
   caller.replies.push_back(reply);
 }
 
-void SessionWorld::check_reply(Caller& caller, const SessionStatement& statement, const StatementReply& reply) {
-  const std::string& id = statement.id.value();
-  const bool promised_nothing =
-      reply.error.has_value() && (is_not_run(*reply.error) || *reply.error == StatementErrorCode::kAborted);
-  const bool write = statement.kind == StatementKind::kWrite ||
-                     (statement.kind == StatementKind::kExecute && statement.access == StatementAccess::kWrite);
-  if (promised_nothing) {
-    if (write) {
-      m_refused_writes.insert(id);
-    }
-    m_refused_writes.insert(caller.transaction_writes.begin(), caller.transaction_writes.end());
-  }
-  if (reply.error.has_value()) {
-    return;
-  }
-  switch (statement.kind) {
-    case StatementKind::kSetValue:
-      caller.values[statement.name] = statement.argument;
-      return;
-    case StatementKind::kPrepare:
-      caller.shapes[statement.name] = statement.argument;
-      return;
-    case StatementKind::kDeallocate:
-      caller.shapes.erase(statement.name);
-      return;
-    case StatementKind::kRead:
-    case StatementKind::kWrite:
-    case StatementKind::kExecute:
-      if (reply.rows != std::vector<std::string>{"row " + id} && !(write && reply.rows.empty())) {
-        m_broken.push_back("MIXED: answer of another statement for " + id);
-      }
-      break;
-    default:
-      break;
-  }
-  if (reply.signature.empty() && (write || statement.kind == StatementKind::kRead)) {
-    m_broken.push_back("MIXED: success without a signature for " + id);
-  }
-  const bool single_write = write && !m_sent.at(id).in_transaction;
-  if (write && !single_write) {
-    caller.transaction_writes.push_back(id);
-  }
-  if (single_write) {
-    m_acknowledged_writes.insert(id);
-  }
-  if (statement.kind == StatementKind::kCommit) {
-    m_acknowledged_writes.insert(caller.transaction_writes.begin(), caller.transaction_writes.end());
-  }
-  if ((single_write || (statement.kind == StatementKind::kCommit && !caller.transaction_writes.empty())) &&
-      reply.position.has_value()) {
-    caller.own_commit = std::max(caller.own_commit, *reply.position);
-  }
-}
-
-void SessionWorld::on_run(const RequestId& id, const StatementRun& run) {
-  const auto found = m_sent.find(id.value());
-  if (found == m_sent.end()) {
-    m_broken.push_back("UNASKED: member ran " + id.value());
-    return;
-  }
-  const SentStatement& sent = found->second;
-  if (run.values != sent.values) {
-    m_broken.push_back("PINNED: other session values for " + id.value());
-  }
-  if (sent.statement.kind == StatementKind::kExecute && run.shape != sent.shape) {
-    m_broken.push_back("PINNED: other shape for " + id.value());
-  }
-  const bool write = sent.statement.kind == StatementKind::kWrite || (sent.statement.kind == StatementKind::kExecute &&
-                                                                      sent.statement.access == StatementAccess::kWrite);
-  if (sent.in_transaction) {
-    if (!run.in_transaction) {
-      m_broken.push_back("PINNED: outside its transaction: " + id.value());
-    }
-    const std::pair<std::string, std::uint64_t> place(run.member, run.connection);
-    const auto [first, added] = m_transaction_places.try_emplace(sent.transaction, place);
-    if (!added && first->second != place) {
-      m_broken.push_back("PINNED: on another connection than its transaction: " + id.value());
-    }
-  } else if (write && run.in_transaction) {
-    m_broken.push_back("PINNED: single write inside a transaction: " + id.value());
-  }
-  if (write) {
-    return;
-  }
-  const TimePoint limit = sent.freshness == ReadFreshness::kPrimary ? sent.since : sent.since - kMaxStaleness;
-  const LogPoint needed = m_members.acknowledged_before(limit);
-  if (run.applied < needed) {
-    const auto text = [](const LogPoint& point) {
-      return std::to_string(point.term.value()) + "." + std::to_string(point.position.value());
-    };
-    m_broken.push_back("STALE: " + id.value() + " at " + run.member + " with " + text(run.applied) + " instead of " +
-                       text(needed) + (run.in_transaction ? " in a transaction" : ""));
-    note(m_broken.back());
-  }
-  if (sent.freshness == ReadFreshness::kOwnWrites && run.applied < sent.own_commit) {
-    m_broken.push_back("STALE: own commit is missing for " + id.value());
-  }
-}
-
 void SessionWorld::kill_host(std::size_t index) {
   Host& host = *m_hosts[index];
   ++host.life;
@@ -454,26 +340,4 @@
   return m_events.run_until(done, limit);
 }
 
-std::vector<std::string> SessionWorld::broken() const {
-  std::vector<std::string> lines = m_broken;
-  for (const ModelCommit& commit : m_members.lost()) {
-    lines.push_back("LOST: commit " + std::to_string(commit.position.position.value()) + " of term " +
-                    std::to_string(commit.position.term.value()));
-  }
-  for (const std::string& id : m_members.doubled()) {
-    lines.push_back("TWICE: " + id);
-  }
-  for (const std::string& id : m_refused_writes) {
-    if (m_members.is_committed(id)) {
-      lines.push_back("REFUSED: " + id + " was committed");
-    }
-  }
-  for (const std::string& id : m_acknowledged_writes) {
-    if (!m_members.is_committed(id)) {
-      lines.push_back("LOST: acknowledged write " + id);
-    }
-  }
-  return lines;
-}
-
 }  // namespace teaselrudder::model
--- a/tests/model/session_world.h
+++ b/tests/model/session_world.h
@@ -10,6 +10,7 @@
 
 #include "servers/session_host/session_host.h"
 #include "tests/model/coordination_model.h"
+#include "tests/model/promise_checker.h"
 #include "tests/model/replicated_members.h"
 
 namespace teaselrudder::model {
@@ -36,14 +37,11 @@
     bool closed = false;
     std::vector<StatementReply> replies;
     std::optional<StatementErrorCode> rejection;
-    std::map<std::string, std::string> values;
-    std::map<std::string, std::string> shapes;
+    /// Number of the session at the checker.
+    std::size_t checked = 0;
     /// Id of the newest statement that was not served.
     RequestId failed;
     TransactionState state = TransactionState::kIdle;
-    TimePoint began;
-    std::vector<std::string> transaction_writes;
-    LogPoint own_commit{Term(0), LogPosition(0)};
     /// Statements without a reply, in order.
     std::vector<SessionStatement> sent;
   };
@@ -104,45 +102,27 @@
   const std::vector<std::string>& course() const { return m_course; }
 
   /// Lines about broken promises, empty if there is none.
-  std::vector<std::string> broken() const;
+  std::vector<std::string> broken() const { return m_checker.broken(); }
 
  private:
   class HostPorts;
   struct Host;
-  struct SentStatement {
-    std::size_t caller = 0;
-    SessionStatement statement;
-    std::map<std::string, std::string> values;
-    std::string shape;
-    bool in_transaction = false;
-    TimePoint since;
-    LogPoint own_commit;
-    std::uint64_t transaction = 0;
-    ReadFreshness freshness = ReadFreshness::kPrimary;
-  };
-
   std::string log_time() const;
   void start_host(std::size_t index);
   void tick(std::size_t index);
   void on_reply(std::size_t host, SessionId session, const StatementReply& reply);
-  void on_run(const RequestId& id, const StatementRun& run);
-  void check_reply(Caller& caller, const SessionStatement& statement, const StatementReply& reply);
 
   EventQueue m_events;
   std::mt19937_64 m_random;
   ReplicatedMembers m_members;
   CoordinationModel m_store;
+  PromiseChecker m_checker;
   std::vector<std::unique_ptr<Host>> m_hosts;
   std::set<std::size_t> m_isolated_hosts;
   std::set<std::size_t> m_isolated_members;
   std::set<std::pair<std::size_t, std::size_t>> m_cut_paths;
   std::vector<Caller> m_callers;
   std::map<std::pair<std::size_t, SessionId>, std::size_t> m_by_session;
-  std::map<std::string, SentStatement> m_sent;
-  std::map<std::uint64_t, std::pair<std::string, std::uint64_t>> m_transaction_places;
-  std::set<std::string> m_refused_writes;
-  std::set<std::string> m_acknowledged_writes;
-  std::vector<std::string> m_broken;
   std::vector<std::string> m_course;
   std::map<std::size_t, std::string> m_logs;
   std::uint64_t m_next_id = 1;
