Add a fault soak of real hosts against stand-ins of the platform

Change: tests/soak plays seeded, overlapping faults against teaselrudder-platform processes: signals, one-way cuts, resets, silent connections, delays, lost datagrams, crashed, dark, deaf and leaving members, and a platform that is silent, slow, busy, resets, loses answers or forgets its history. Each host reaches everything through ports of its own, so that every way fails by itself. PromiseChecker judges; a host that ends by itself or serves nothing after the faults counts as broken. stand_ins/kv_content and platform_server speak the platform's HTTP form; both store stand-ins share http_text.

--- /dev/null
+++ b/tests/soak/soak_caller.cc
@@ -0,0 +1,187 @@
+#include "tests/soak/soak_caller.h"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace teaselrudder::soak {
+
+namespace {
+
+/// Time without an answer after which a caller leaves.
+constexpr std::uint64_t kPatienceMs = 4000;
+constexpr std::size_t kMaxPauseMs = 60;
+constexpr std::size_t kPreparedNames = 3;
+constexpr std::array kFreshness = {ReadFreshness::kPrimary, ReadFreshness::kBounded, ReadFreshness::kOwnWrites};
+
+std::string text_of(const SessionStatement& statement) {
+  switch (statement.kind) {
+    case StatementKind::kBegin:
+      return "BEGIN";
+    case StatementKind::kBeginReadOnly:
+      return "BEGIN READ";
+    case StatementKind::kCommit:
+      return "COMMIT";
+    case StatementKind::kRollback:
+      return "ROLLBACK";
+    case StatementKind::kRead:
+      return "READ " + statement.argument;
+    case StatementKind::kWrite:
+      return "WRITE " + statement.argument;
+    case StatementKind::kSetValue:
+      return "SET " + statement.name + " " + statement.argument;
+    case StatementKind::kPrepare:
+      return "PREPARE " + statement.name + (statement.access == StatementAccess::kWrite ? " WRITE " : " READ ") +
+             statement.argument;
+    case StatementKind::kExecute:
+      return "EXECUTE " + statement.name + " " + statement.argument;
+    case StatementKind::kDeallocate:
+      return "CLOSE " + statement.name;
+  }
+  return "";
+}
+
+}  // namespace
+
+std::string database_of(ReadFreshness freshness) {
+  switch (freshness) {
+    case ReadFreshness::kPrimary:
+      return "fresh";
+    case ReadFreshness::kBounded:
+      return "bounded";
+    case ReadFreshness::kOwnWrites:
+      return "own";
+  }
+  return "fresh";
+}
+
+SoakCaller::SoakCaller(uv_loop_t* loop, Shared& shared, std::uint64_t seed, std::uint16_t port,
+                       std::function<void()> on_end)
+    : TcpStream(loop),
+      m_shared(shared),
+      m_random(seed),
+      m_on_end(std::move(on_end)),
+      m_freshness(kFreshness[below(kFreshness.size())]),
+      m_session(shared.checker.add_session(m_freshness)) {
+  ++m_shared.totals.sessions;
+  connect(port);
+  start_timer(kPatienceMs);
+}
+
+void SoakCaller::on_connected() {
+  m_waits = true;
+  send("STARTUP " + database_of(m_freshness) + " soak\r\n");
+}
+
+void SoakCaller::on_close() {
+  m_shared.totals.broken_off += m_waits ? 1 : 0;
+  m_on_end();
+}
+
+void SoakCaller::on_data(std::string_view data) {
+  m_input += data;
+  std::size_t end = m_input.find("\r\n");
+  while (end != std::string::npos && !is_closed()) {
+    const std::string line = m_input.substr(0, end);
+    m_input.erase(0, end + 2);
+    on_line(line);
+    end = m_input.find("\r\n");
+  }
+}
+
+void SoakCaller::on_line(std::string_view line) {
+  const auto reply = m_reader.take(line);
+  if (!reply.has_value()) {
+    m_shared.checker.add("MIXED: line that fits no answer: " + std::string(line));
+    close();
+    return;
+  }
+  if (!m_open && line.starts_with("ERROR")) {
+    // The session was refused; the host closes the connection.
+    return;
+  }
+  if (!reply->has_value()) {
+    return;
+  }
+  if (!m_waits) {
+    m_shared.checker.add("MIXED: answer to nothing: " + std::string(line));
+    close();
+    return;
+  }
+  m_waits = false;
+  if (m_open) {
+    on_reply(**reply);
+  } else {
+    m_open = true;
+    pause();
+  }
+}
+
+void SoakCaller::on_reply(const StatementReply& reply) {
+  m_shared.checker.on_reply(m_session, m_statement, reply);
+  if (reply.error.has_value()) {
+    ++m_shared.totals.refused;
+  } else {
+    ++m_shared.totals.served;
+    ++m_served;
+    if (m_statement.kind == StatementKind::kPrepare) {
+      std::erase_if(m_prepared, [this](const SessionStatement& known) { return known.name == m_statement.name; });
+      m_prepared.push_back(m_statement);
+    } else if (m_statement.kind == StatementKind::kDeallocate) {
+      std::erase_if(m_prepared, [this](const SessionStatement& known) { return known.name == m_statement.name; });
+    }
+  }
+  pause();
+}
+
+void SoakCaller::pause() { start_timer(1 + below(kMaxPauseMs)); }
+
+void SoakCaller::on_timer() {
+  if (m_waits || !m_open) {
+    close();
+    return;
+  }
+  send_next();
+}
+
+void SoakCaller::send_next() {
+  const TransactionState state = m_shared.checker.session(m_session).state;
+  const std::size_t choice = below(100);
+  if (choice < 1) {
+    // The caller leaves, also from inside a transaction.
+    close();
+  } else if (state == TransactionState::kFailed) {
+    ask(StatementKind::kRollback);
+  } else if (state == TransactionState::kOpen && choice < 30) {
+    ask(choice < 6 ? StatementKind::kRollback : StatementKind::kCommit);
+  } else if (state == TransactionState::kIdle && choice < 15) {
+    ask(choice < 4 ? StatementKind::kBeginReadOnly : StatementKind::kBegin);
+  } else if (state == TransactionState::kIdle && choice < 20) {
+    ask(StatementKind::kSetValue, "v" + std::to_string(below(2)));
+  } else if (state == TransactionState::kIdle && choice < 25) {
+    ask(StatementKind::kPrepare, "s" + std::to_string(below(kPreparedNames)),
+        below(3) == 0 ? StatementAccess::kWrite : StatementAccess::kRead);
+  } else if (!m_prepared.empty() && choice < 45) {
+    const SessionStatement& prepared = m_prepared[below(m_prepared.size())];
+    ask(StatementKind::kExecute, prepared.name, prepared.access);
+  } else if (!m_prepared.empty() && state == TransactionState::kIdle && choice < 47) {
+    ask(StatementKind::kDeallocate, m_prepared[below(m_prepared.size())].name);
+  } else {
+    ask(choice < 65 ? StatementKind::kWrite : StatementKind::kRead);
+  }
+}
+
+void SoakCaller::ask(StatementKind kind, const std::string& name, StatementAccess access) {
+  m_statement = {};
+  m_statement.id = RequestId("s" + std::to_string(++m_shared.last_id));
+  m_statement.kind = kind;
+  m_statement.name = name;
+  m_statement.access = access;
+  m_statement.argument = "x" + std::to_string(below(5));
+  m_shared.checker.on_sent(m_session, m_statement, m_shared.clock());
+  m_waits = true;
+  send("QUERY " + m_statement.id.value() + " " + text_of(m_statement) + "\r\n");
+  start_timer(kPatienceMs);
+}
+
+}  // namespace teaselrudder::soak
--- /dev/null
+++ b/tests/soak/soak_main.cc
@@ -0,0 +1,65 @@
+#include <gflags/gflags.h>
+#include <unistd.h>
+
+#include <csignal>
+#include <exception>
+#include <filesystem>
+#include <iostream>
+
+#include "tests/soak/soak_run.h"
+
+DEFINE_uint64(seed, 1, "seed of the faults and of the callers");
+DEFINE_uint64(faults, 12, "faults before everything is healed");
+DEFINE_uint64(hosts, 4, "hosts, 2 to 64");
+DEFINE_uint64(callers, 24, "callers with a session each, 1 to 10000");
+DEFINE_string(folder, "", "folder for the hosts' settings and logs; empty: a temporary one, kept if the run fails");
+DEFINE_bool(print_faults, false, "print each fault");
+
+int main(int argc, char** argv) {
+  gflags::SetUsageMessage("plays faults against real hosts and checks what callers were promised");
+  gflags::ParseCommandLineFlags(&argc, &argv, true);
+  if (FLAGS_hosts < 2 || FLAGS_hosts > 64 || FLAGS_callers < 1 || FLAGS_callers > 10000) {
+    std::cerr << "soak: --hosts or --callers is out of range\n";
+    return 2;
+  }
+  // Hosts that are killed break connections on which the soak writes.
+  std::signal(SIGPIPE, SIG_IGN);
+  namespace fs = std::filesystem;
+  const fs::path own = fs::read_symlink("/proc/self/exe");
+  const bool temporary = FLAGS_folder.empty();
+  const fs::path folder =
+      temporary ? fs::temp_directory_path() / ("soak-" + std::to_string(FLAGS_seed) + "-" + std::to_string(getpid()))
+                : fs::path(FLAGS_folder);
+  try {
+    fs::create_directories(folder);
+    teaselrudder::soak::SoakSettings settings;
+    settings.seed = FLAGS_seed;
+    settings.faults = FLAGS_faults;
+    settings.hosts = FLAGS_hosts;
+    settings.callers = FLAGS_callers;
+    settings.program = (own.parent_path() / "teaselrudder-platform").string();
+    settings.folder = folder.string();
+    settings.prints_faults = FLAGS_print_faults;
+    std::vector<std::string> broken;
+    std::string summary;
+    {
+      teaselrudder::soak::SoakRun run(settings);
+      broken = run.run();
+      summary = run.summary();
+    }
+    for (const std::string& line : broken) {
+      std::cout << line << '\n';
+    }
+    std::cout << "soak: " << summary << " broken=" << broken.size();
+    if (!broken.empty()) {
+      std::cout << " logs=" << folder.string();
+    } else if (temporary) {
+      fs::remove_all(folder);
+    }
+    std::cout << std::endl;
+    return broken.empty() ? 0 : 1;
+  } catch (const std::exception& error) {
+    std::cerr << "soak: " << error.what() << '\n';
+    return 2;
+  }
+}
--- a/tests/stand_ins/store_stand_in.cc
+++ b/tests/stand_ins/store_stand_in.cc
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "drivers/store/base64.h"
+#include "tests/stand_ins/http_text.h"
 
 namespace teaselrudder::testing {
 
@@ -39,20 +40,6 @@
   }
 }
 
-// Returns the value of content-length in the head of a request, or 0.
-std::size_t content_length(std::string head) {
-  std::transform(head.begin(), head.end(), head.begin(), [](unsigned char c) { return std::tolower(c); });
-  const std::string name = "\r\ncontent-length:";
-  const std::size_t found = head.find(name);
-  return found == std::string::npos ? 0 : std::stoul(head.substr(found + name.size()));
-}
-
-std::string http_text(int status, const std::string& body) {
-  return "HTTP/1.1 " + std::to_string(status) +
-         " Status\r\ncontent-type: application/json\r\ncontent-length: " + std::to_string(body.size()) + "\r\n\r\n" +
-         body;
-}
-
 std::string chunk(const std::string& bytes) {
   std::array<char, 20> size{};
   const int length = std::snprintf(size.data(), size.size(), "%zx\r\n", bytes.size());
@@ -147,31 +134,19 @@
     return false;
   }
   std::string& input = found->second->input;
-  const std::size_t head_end = input.find("\r\n\r\n");
-  if (head_end == std::string::npos) {
-    return false;
-  }
-  const std::string head = input.substr(0, head_end);
-  const std::size_t body_start = head_end + 4;
-  const std::size_t length = content_length(head);
-  if (length > kMaxRequestBytes) {
+  if (input.size() > kMaxRequestBytes) {
     close(number);
     return false;
   }
-  if (input.size() < body_start + length) {
+  const std::optional<HttpRequestText> request = take_http_request(input);
+  if (!request.has_value()) {
     return false;
   }
-  const std::string body = input.substr(body_start, length);
-  input.erase(0, body_start + length);
-  std::istringstream request_line(head);
-  std::string method;
-  std::string path;
-  request_line >> method >> path;
   ++m_requests;
-  if (path == "/v3/watch" && !m_garbage && !m_not_http) {
-    start_watch(number, body);
+  if (request->path == "/v3/watch" && !m_garbage && !m_not_http) {
+    start_watch(number, request->body);
   } else {
-    answer(number, respond(path, body));
+    answer(number, respond(request->path, request->body));
   }
   return true;
 }
@@ -201,7 +176,8 @@
     close(number);
     return;
   }
-  std::string bytes = m_garbage ? http_text(200, "{\"header\":") : http_text(response.status, response.body);
+  std::string bytes =
+      m_garbage ? http_response_text(200, "{\"header\":") : http_response_text(response.status, response.body);
   if (m_not_http) {
     bytes = "this is not HTTP\r\n\r\n";
   }
