Send reports on many groups in several datagrams, and bound the holder's probes

Cause: a host told of all groups in one report and did not send it if it exceeded 8 KB. Change: reports tell of 32 groups each, and the evidence board joins them. The holder sends at most 320 probes a second, group after group. Tests: hosts_of_many_groups_hear_one_another and abandoned_commits_replace_no_primary failed on the code before; probes_of_many_groups_stay_within_their_budget fails without the budget; largest_report_fits_into_a_datagram.

--- a/servers/failover/evidence_board.cc
+++ b/servers/failover/evidence_board.cc
@@ -6,32 +6,34 @@
 
 void EvidenceBoard::on_report(const EvidenceReport& report, TimePoint now) {
   Entry& entry = m_entries[report.sender];
-  if (entry.arrived_at != TimePoint() && report.sent_at_us < entry.report.sent_at_us &&
+  if (entry.arrived_at != TimePoint() && report.sent_at_us < entry.sent_at_us &&
       now < entry.arrived_at + kForgetAfter) {
     return;
   }
-  entry = {report, now};
+  entry.sent_at_us = report.sent_at_us;
+  entry.store_current = report.store_current;
+  entry.arrived_at = now;
+  for (const PrimaryEvidence& evidence : report.groups) {
+    entry.groups[evidence.group] = {evidence, now};
+  }
 }
 
 std::vector<PrimaryEvidence> EvidenceBoard::fresh(const GroupId& group, TimePoint now) const {
   std::vector<PrimaryEvidence> evidence;
   for (const auto& [host, entry] : m_entries) {
-    const Duration age = now - entry.arrived_at;
-    if (age > kFreshFor) {
+    const auto found = entry.groups.find(group);
+    if (found == entry.groups.end() || now - found->second.arrived_at > kFreshFor) {
       continue;
     }
-    for (PrimaryEvidence item : entry.report.groups) {
-      if (item.group != group) {
-        continue;
-      }
-      for (std::optional<Duration>* const elapsed : {&item.heard_age, &item.commit_age}) {
-        if (elapsed->has_value()) {
-          **elapsed += age;
-        }
+    const Duration age = now - found->second.arrived_at;
+    PrimaryEvidence item = found->second.evidence;
+    for (std::optional<Duration>* const elapsed : {&item.heard_age, &item.commit_age}) {
+      if (elapsed->has_value()) {
+        **elapsed += age;
       }
-      item.position_age += age;
-      evidence.push_back(item);
     }
+    item.position_age += age;
+    evidence.push_back(item);
   }
   return evidence;
 }
@@ -50,7 +52,7 @@
 std::size_t EvidenceBoard::hosts_with_store(TimePoint now) const {
   std::size_t count = 0;
   for (const auto& [host, entry] : m_entries) {
-    count += now - entry.arrived_at <= kFreshFor && entry.report.store_current ? 1 : 0;
+    count += now - entry.arrived_at <= kFreshFor && entry.store_current ? 1 : 0;
   }
   return count;
 }
@@ -70,7 +72,7 @@
   if (found == m_entries.end()) {
     return std::nullopt;
   }
-  return std::pair(found->second.report.sent_at_us, found->second.arrived_at);
+  return std::pair(found->second.sent_at_us, found->second.arrived_at);
 }
 
 }  // namespace teaselrudder
--- a/servers/failover/evidence_board.h
+++ b/servers/failover/evidence_board.h
@@ -40,9 +40,16 @@
   std::optional<std::pair<std::int64_t, TimePoint>> newest_of(const HostId& host) const;
 
  private:
+  struct Evidence {
+    PrimaryEvidence evidence;
+    TimePoint arrived_at;
+  };
+  /// What one host said. Its reports tell of some groups each.
   struct Entry {
-    EvidenceReport report;
+    std::int64_t sent_at_us = 0;
+    bool store_current = false;
     TimePoint arrived_at;
+    std::map<GroupId, Evidence> groups;
   };
 
   std::map<HostId, Entry> m_entries;
--- a/servers/failover/failover_duty.cc
+++ b/servers/failover/failover_duty.cc
@@ -67,6 +67,7 @@
       watch(group, watched, board, fleet_size, now);
     }
   }
+  probe_groups(groups, now);
   // The connections stay open, because at a failover the members may have none left to give.
   m_links.close_idle([&groups](const MemberId& member) {
     return std::any_of(groups.begin(), groups.end(),
@@ -108,7 +109,7 @@
   if (primary == nullptr && !watched.leaderless_since.has_value()) {
     watched.leaderless_since = now;
   }
-  probe(group, watched, now);
+  note_heard(group, watched, now);
   if (now < *m_first_tick + kSettlingTime) {
     return;
   }
@@ -129,24 +130,49 @@
   }
 }
 
-void FailoverDuty::probe(const UpstreamGroup& group, Watched& watched, TimePoint now) {
-  const PrimaryEvidence own = group.report(now);
-  const UpstreamMember* const primary = watched.primary.has_value() ? group.find(*watched.primary) : nullptr;
-  const bool heard = own.heard_age.has_value() && *own.heard_age < kProbeAfter;
-  if (heard) {
-    watched.answered_at = std::max(watched.answered_at, now - *own.heard_age);
+void FailoverDuty::note_heard(const UpstreamGroup& group, Watched& watched, TimePoint now) {
+  const std::optional<Duration> age = group.report(now).heard_age;
+  if (age.has_value() && *age < kProbeAfter) {
+    watched.answered_at = std::max(watched.answered_at, now - *age);
     watched.failures = 0;
   }
+}
+
+void FailoverDuty::probe_groups(const std::map<GroupId, UpstreamGroup>& groups, TimePoint now) {
+  const std::chrono::duration<double> elapsed = now - std::exchange(m_probes_refilled_at, now);
+  m_probes_left = std::min(kProbeBurst, m_probes_left + elapsed.count() * kProbesPerSecond);
+  auto next = groups.upper_bound(m_probed_last);
+  for (std::size_t count = 0; count < groups.size() && m_probes_left >= 1; ++count) {
+    next = next == groups.end() ? groups.begin() : next;
+    Watched& watched = m_watched.at(next->first);
+    if (!watched.replacement->is_running() && !next->second.members().empty()) {
+      probe(next->second, watched, now);
+    }
+    m_probed_last = next->first;
+    ++next;
+  }
+}
+
+void FailoverDuty::send_probe(const GroupId& group, const MemberEntry& member, TimePoint now) {
+  if (m_links.command(group, member, MemberCommandKind::kReportStatus, Term(0), now)) {
+    --m_probes_left;
+  }
+}
+
+void FailoverDuty::probe(const UpstreamGroup& group, Watched& watched, TimePoint now) {
+  const UpstreamMember* const primary = watched.primary.has_value() ? group.find(*watched.primary) : nullptr;
+  const std::optional<Duration> heard_age = group.report(now).heard_age;
+  const bool heard = heard_age.has_value() && *heard_age < kProbeAfter;
   const Duration interval = watched.failures > 0 ? kInterval : kProbeAfter;
   if (primary != nullptr && !heard && watched.probed_at + interval <= now) {
     watched.probed_at = now;
-    m_links.command(group.id(), primary->entry, MemberCommandKind::kReportStatus, Term(0), now);
+    send_probe(group.id(), primary->entry, now);
   }
   if (watched.replicas_checked_at + kReplicaCheck <= now || primary == nullptr) {
     watched.replicas_checked_at = now;
     for (const auto& [id, member] : group.members()) {
       if (watched.primary != id) {
-        m_links.command(group.id(), member.entry, MemberCommandKind::kReportStatus, Term(0), now);
+        send_probe(group.id(), member.entry, now);
       }
     }
   }
--- a/servers/failover/failover_duty.h
+++ b/servers/failover/failover_duty.h
@@ -53,6 +53,10 @@
   static constexpr Duration kCommitStall = std::chrono::milliseconds(1300);
   /// Time without a known primary after which one is appointed.
   static constexpr Duration kNoPrimary = std::chrono::milliseconds(700);
+  /// Status commands that the holder sends to members in a second, and at once. They bound its work before many groups:
+  /// it then asks quiet primaries less often, while the reports of hosts whose callers wait still show a lost one.
+  static constexpr double kProbesPerSecond = 320;
+  static constexpr double kProbeBurst = 32;
   /// Time between two surveys of replicas that a former holder may have left stopped.
   static constexpr Duration kReplicaCheck = std::chrono::seconds(3);
 
@@ -88,7 +92,12 @@
   void leave_duty();
   void watch(const UpstreamGroup& group, Watched& watched, const EvidenceBoard& board, std::size_t fleet_size,
              TimePoint now);
+  /// Takes over what this host's own connections heard of the primary.
+  static void note_heard(const UpstreamGroup& group, Watched& watched, TimePoint now);
+  /// Asks members that are quiet, group after group, as far as the budget goes.
+  void probe_groups(const std::map<GroupId, UpstreamGroup>& groups, TimePoint now);
   void probe(const UpstreamGroup& group, Watched& watched, TimePoint now);
+  void send_probe(const GroupId& group, const MemberEntry& member, TimePoint now);
   bool is_lost(const UpstreamGroup& group, const Watched& watched, const EvidenceBoard& board, std::size_t fleet_size,
                TimePoint now) const;
   /// Tells whether nobody hears the primary and most hosts of whom there is news wait for an answer of it.
@@ -104,6 +113,10 @@
   std::optional<TimePoint> m_first_tick;
   TimePoint m_now;
   TimePoint m_next_tick;
+  double m_probes_left = kProbeBurst;
+  TimePoint m_probes_refilled_at;
+  /// The group that was probed last; the next round begins behind it.
+  GroupId m_probed_last;
 };
 
 }  // namespace teaselrudder
--- a/servers/session_host/report_ring.cc
+++ b/servers/session_host/report_ring.cc
@@ -13,8 +13,8 @@
 /// Key under which hosts are ranked for the ring.
 constexpr std::string_view kRingKey = "reports";
 
-/// Returns the hosts in the order of the ring. Each failure domain is spread evenly over it, in rendezvous order, so that
-/// few neighbours are a fair sample of all domains.
+/// Returns the hosts in the order of the ring. Each failure domain is spread evenly over it, in rendezvous order, so
+/// that few neighbours are a fair sample of all domains.
 std::vector<HostId> ring_of(const std::map<HostId, FailureDomainId>& hosts) {
   std::map<FailureDomainId, std::vector<HostId>> by_domain;
   for (const auto& [host, domain] : hosts) {
--- a/servers/session_host/report_ring.h
+++ b/servers/session_host/report_ring.h
@@ -22,8 +22,8 @@
   ReportRing(HostId self, FailureDomainId domain) : m_self(std::move(self)), m_domain(std::move(domain)) {}
 
   /// Sets the other hosts with their failure domains, those included that have left the store's list a while ago, and
-  /// which of them are listed or heard. The former keep their places, because one of them may be cut off and learns from
-  /// reports that it is not any more; nothing is expected from them.
+  /// which of them are listed or heard. The former keep their places, because one of them may be cut off and learns
+  /// from reports that it is not any more; nothing is expected from them.
   void set_hosts(std::map<HostId, FailureDomainId> others, std::set<HostId> living);
   void set_duty_holder(std::optional<HostId> holder) { m_holder = std::move(holder); }
 
@@ -34,8 +34,9 @@
   bool expects(const HostId& other) const { return m_living.contains(other) && (holds_duty() || is_neighbour(other)); }
 
   /// Tells whether this host hears less than half of the fleet, itself included; `heard` tells of an expected host
-  /// whether its reports arrive. Each failure domain counts with all its hosts, of which the expected ones are a sample:
-  /// a host whose neighbours are by chance mostly of its own domain still sees that the others are out of reach.
+  /// whether its reports arrive. Each failure domain counts with all its hosts, of which the expected ones are a
+  /// sample: a host whose neighbours are by chance mostly of its own domain still sees that the others are out of
+  /// reach.
   bool hears_minority(const std::function<bool(const HostId&)>& heard) const;
 
   /// Tells whether reports to `other` serve the failover duty, which one of both has.
--- a/servers/session_host/session_host.cc
+++ b/servers/session_host/session_host.cc
@@ -255,11 +255,20 @@
   }
 }
 
-void SessionHost::send_report(const HostId& host, const Endpoint& endpoint, EvidenceReport& report, TimePoint now) {
+void SessionHost::send_report(const HostId& host, const Endpoint& endpoint, const EvidenceReport& report,
+                              TimePoint now) {
   const auto newest = m_board.newest_of(host);
-  report.echo_us = newest.has_value() ? newest->first : 0;
-  report.echo_hold = newest.has_value() ? now - newest->second : Duration(0);
-  m_evidence.send_report(endpoint, report);
+  EvidenceReport part = report;
+  part.echo_us = newest.has_value() ? newest->first : 0;
+  part.echo_hold = newest.has_value() ? now - newest->second : Duration(0);
+  auto next = report.groups.begin();
+  do {
+    const auto left = static_cast<std::size_t>(report.groups.end() - next);
+    const auto end = next + static_cast<std::ptrdiff_t>(std::min(left, kGroupsPerReport));
+    part.groups.assign(next, end);
+    m_evidence.send_report(endpoint, part);
+    next = end;
+  } while (next != report.groups.end());
 }
 
 std::string SessionHost::metrics(TimePoint now) const {
--- a/servers/session_host/session_host.h
+++ b/servers/session_host/session_host.h
@@ -55,6 +55,9 @@
   static constexpr Duration kDutyRenewal = std::chrono::milliseconds(500);
   /// Time between two reports to each other host.
   static constexpr Duration kReportInterval = std::chrono::milliseconds(250);
+  /// Groups of which one report tells; the rest follows in further reports. Each fits into a datagram of 8 KB with the
+  /// longest names.
+  static constexpr std::size_t kGroupsPerReport = 32;
   /// Time between two reports that only serve the failover duty.
   static constexpr Duration kDutyReportInterval = std::chrono::milliseconds(500);
   /// Reports in which the holder of the duty tells all hosts of a new primary; some may be lost.
@@ -110,7 +113,7 @@
   /// good.
   bool store_is_away_for_all(TimePoint now) const;
   void send_reports(TimePoint now);
-  void send_report(const HostId& host, const Endpoint& endpoint, EvidenceReport& report, TimePoint now);
+  void send_report(const HostId& host, const Endpoint& endpoint, const EvidenceReport& report, TimePoint now);
   /// Drops hosts that left long ago, and counts the fleet anew.
   void review_hosts(TimePoint now);
   void note_readiness();
--- a/servers/sessions/upstream_group.cc
+++ b/servers/sessions/upstream_group.cc
@@ -109,9 +109,17 @@
 }
 
 void UpstreamGroup::on_commit_sent(TimePoint now) {
-  if (!m_commit_waits_since.has_value()) {
+  if (commit_stall(now) == Duration(0)) {
     m_commit_waits_since = now;
   }
+  m_commit_sent_at = now;
+}
+
+Duration UpstreamGroup::commit_stall(TimePoint now) const {
+  if (!m_commit_waits_since.has_value() || m_commit_sent_at + kCommitsWaitFor <= now) {
+    return Duration(0);
+  }
+  return now - *m_commit_waits_since;
 }
 
 void UpstreamGroup::on_commit_acknowledged(TimePoint now) {
@@ -124,7 +132,7 @@
   if (primary == nullptr || (primary->silent_since.has_value() && *primary->silent_since + limit <= now)) {
     return false;
   }
-  return !m_commit_waits_since.has_value() || now < *m_commit_waits_since + limit;
+  return commit_stall(now) < limit;
 }
 
 PrimaryEvidence UpstreamGroup::report(TimePoint now) const {
@@ -146,9 +154,7 @@
   if (m_commit_acknowledged_at.has_value()) {
     report.commit_age = now - *m_commit_acknowledged_at;
   }
-  if (m_commit_waits_since.has_value()) {
-    report.commit_stalled_for = now - *m_commit_waits_since;
-  }
+  report.commit_stalled_for = commit_stall(now);
   if (const auto newest = m_evidence.newest(); newest.has_value()) {
     report.position = newest->position;
     report.position_age = now - newest->requested_at;
--- a/servers/sessions/upstream_group.h
+++ b/servers/sessions/upstream_group.h
@@ -49,6 +49,10 @@
   /// entries again within two seconds.
   static constexpr Duration kReentryGrace = std::chrono::milliseconds(2200);
 
+  /// Time after the last commit for which commits without an answer show that the primary's are stalled. Callers that
+  /// get no answer try again sooner; without any of them nothing waits.
+  static constexpr Duration kCommitsWaitFor = std::chrono::seconds(2);
+
   explicit UpstreamGroup(GroupId group) : m_group(std::move(group)) {}
 
   const GroupId& id() const { return m_group; }
@@ -104,6 +108,9 @@
   void on_commit_sent(TimePoint now);
   void on_commit_acknowledged(TimePoint now);
 
+  /// Returns for how long commits have waited for an acknowledgement; zero if none waits.
+  Duration commit_stall(TimePoint now) const;
+
   const PositionEvidence& evidence() const { return m_evidence; }
 
   /// Tells whether the primary is known and answers: neither an attempt to reach it nor a commit has waited for
@@ -126,6 +133,7 @@
   PositionEvidence m_evidence;
   std::optional<TimePoint> m_commit_acknowledged_at;
   std::optional<TimePoint> m_commit_waits_since;
+  TimePoint m_commit_sent_at;
 };
 
 }  // namespace teaselrudder
--- a/tests/drivers/evidence_socket_test.cc
+++ b/tests/drivers/evidence_socket_test.cc
@@ -3,6 +3,11 @@
 #include <cppunit/extensions/HelperMacros.h>
 #include <rapidcheck.h>
 
+#include <cstdint>
+#include <string>
+
+#include "servers/session_host/session_host.h"
+
 namespace teaselrudder {
 
 namespace {
@@ -10,6 +15,7 @@
 class EvidenceSocketTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(EvidenceSocketTest);
   CPPUNIT_TEST(report_survives_the_way);
+  CPPUNIT_TEST(largest_report_fits_into_a_datagram);
   CPPUNIT_TEST(arbitrary_bytes_are_no_report);
   CPPUNIT_TEST_SUITE_END();
 
@@ -40,6 +46,23 @@
     CPPUNIT_ASSERT(!read->groups[1].heard_age.has_value() && !read->groups[1].position.has_value());
   }
 
+  // Guards against reports that are never sent because they are too large. Names have up to 40 characters.
+  void largest_report_fits_into_a_datagram() {
+    EvidenceReport report;
+    report.sender = HostId(std::string(40, 'h'));
+    report.sent_at_us = report.echo_us = INT64_MAX;
+    report.duty_token = UINT64_MAX;
+    PrimaryEvidence group;
+    group.group = GroupId(std::string(40, 'g'));
+    group.primary = MemberId(std::string(40, 'm'));
+    group.term = Term(UINT64_MAX);
+    group.heard_age = group.commit_age = Duration(INT64_MAX / 2);
+    group.silent_for = group.commit_stalled_for = group.position_age = Duration(INT64_MAX / 2);
+    group.position = LogPoint{Term(UINT64_MAX), LogPosition(UINT64_MAX)};
+    report.groups.assign(SessionHost::kGroupsPerReport, group);
+    CPPUNIT_ASSERT(encode_evidence(report).size() <= kMaxEvidenceBytes);
+  }
+
   // Guards against a datagram of another sender that ends the process.
   void arbitrary_bytes_are_no_report() {
     CPPUNIT_ASSERT(!decode_evidence("").has_value());
--- a/tests/model/session_world.h
+++ b/tests/model/session_world.h
@@ -83,6 +83,10 @@
   void cut_path(std::size_t host, std::size_t member) { m_cut_paths.insert({host, member}); }
   /// Reports between hosts are lost.
   bool reports_cut = false;
+  /// Reports that tell of more groups are lost, as datagrams that are too large.
+  std::size_t largest_report = 64;
+  /// Further groups in the configuration, without members.
+  std::size_t idle_groups = 0;
 
   /// Publishes the configuration in a new version.
   void publish_routes(Duration timeout = std::chrono::milliseconds(800));
--- a/tests/servers/sessions/session_host_test.cc
+++ b/tests/servers/sessions/session_host_test.cc
@@ -25,6 +25,8 @@
   CPPUNIT_TEST(idle_transaction_is_ended_and_told);
   CPPUNIT_TEST(writes_resume_after_the_primary_is_lost);
   CPPUNIT_TEST(leaving_primary_is_replaced_before_it_ends);
+  CPPUNIT_TEST(abandoned_commits_replace_no_primary);
+  CPPUNIT_TEST(hosts_of_many_groups_hear_one_another);
   CPPUNIT_TEST(second_replacement_keeps_the_whole_log);
   CPPUNIT_TEST(lost_replica_leaves_its_commits_required);
   CPPUNIT_TEST(late_promotion_does_not_undo_a_newer_one);
@@ -204,6 +206,47 @@
     expect_unbroken(world);
   }
 
+  // Guards against the replacement of a healthy primary because hosts remember commits without an answer for which
+  // nobody waits any more (hinokuni-slots-grown, quiet-1, after the traffic had ended).
+  void abandoned_commits_replace_no_primary() {
+    SessionWorld world(3);
+    const std::vector<std::size_t> callers = world.open_sessions(SessionWorld::kPrimaryReads);
+    for (const std::size_t caller : callers) {
+      world.ask(caller, StatementKind::kWrite);
+    }
+    // Single answers are lost at two hosts, long after one another; nothing else is written.
+    for (const std::size_t caller : {callers[0], callers[1]}) {
+      world.members().member(0).loses_answers = true;
+      world.send(caller, StatementKind::kWrite);
+      world.run_for(std::chrono::milliseconds(1000));
+      world.members().member(0).loses_answers = false;
+      world.run_for(std::chrono::milliseconds(1500));
+    }
+    world.run_for(3 * kSecond);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, world.members().promotions());
+    expect_unbroken(world);
+  }
+
+  // Guards against a fleet that is deaf because its reports on all groups do not fit into a datagram: 71 to 240
+  // promotions of healthy primaries at about 90 groups, and no failover at all beyond (ripewell-ops, sweep).
+  void hosts_of_many_groups_hear_one_another() {
+    SessionWorld world(3);
+    world.idle_groups = 200;
+    world.publish_routes();
+    const std::size_t caller = world.open_session(1, SessionWorld::kPrimaryReads);
+    world.run_for(3 * kSecond);
+    CPPUNIT_ASSERT(!world.ask(caller, StatementKind::kWrite).error.has_value());
+    world.members().crash(0, true);
+    const TimePoint lost_at = world.events().now();
+    bool served = false;
+    while (!served && world.events().now() < lost_at + 10 * kSecond) {
+      served = !world.ask(caller, StatementKind::kWrite).error.has_value();
+    }
+    CPPUNIT_ASSERT(served);
+    CPPUNIT_ASSERT(world.events().now() < lost_at + 7 * kSecond);
+    expect_unbroken(world);
+  }
+
   // Guards against the promotion of a replica that never received what the present primary brought along from the term
   // before (ripewell-ops, trouble-1).
   void second_replacement_keeps_the_whole_log() {
