--- a/tests/soak/soak_caller.cc
+++ b/tests/soak/soak_caller.cc
@@ -55,8 +55,7 @@
   return "fresh";
 }
 
-SoakCaller::SoakCaller(uv_loop_t* loop, Shared& shared, std::uint64_t seed, std::uint16_t port,
-                       std::function<void()> on_end)
+SoakCaller::SoakCaller(uv_loop_t* loop, Shared& shared, std::uint64_t seed, std::uint16_t port, EndHandler on_end)
     : TcpStream(loop),
       m_shared(shared),
       m_random(seed),
@@ -75,7 +74,7 @@
 
 void SoakCaller::on_close() {
   m_shared.totals.broken_off += m_waits ? 1 : 0;
-  m_on_end();
+  m_on_end(m_served);
 }
 
 void SoakCaller::on_data(std::string_view data) {
--- a/tests/soak/soak_caller.h
+++ b/tests/soak/soak_caller.h
@@ -36,8 +36,11 @@
     std::uint64_t last_id = 0;
   };
 
-  /// `on_end` is called once, when the session has ended.
-  SoakCaller(uv_loop_t* loop, Shared& shared, std::uint64_t seed, std::uint16_t port, std::function<void()> on_end);
+  /// Gets the number of statements that a session was served, when it has ended.
+  using EndHandler = std::function<void(std::uint64_t served)>;
+
+  /// `on_end` is called once, at worst from inside the constructor.
+  SoakCaller(uv_loop_t* loop, Shared& shared, std::uint64_t seed, std::uint16_t port, EndHandler on_end);
 
   /// Statements that this session has been served.
   std::uint64_t served() const { return m_served; }
@@ -58,7 +61,7 @@
 
   Shared& m_shared;
   std::mt19937_64 m_random;
-  std::function<void()> m_on_end;
+  EndHandler m_on_end;
   ReadFreshness m_freshness;
   std::size_t m_session;
   std::string m_input;
--- a/tests/soak/soak_run.cc
+++ b/tests/soak/soak_run.cc
@@ -119,12 +119,15 @@
     ++place.opened;
     const std::uint64_t seed = m_settings.seed * 1000003 + index * 1009 + place.opened;
     const std::uint16_t port = m_hosts[place.host]->ports().callers;
-    place.caller = new SoakCaller(&m_loop, m_shared, seed, port, [this, index] {
+    place.caller = new SoakCaller(&m_loop, m_shared, seed, port, [this, index](std::uint64_t served) {
       CallerPlace& ended = m_callers[index];
-      m_served[ended.host] += ended.caller->served();
+      m_served[ended.host] += served;
       ended.caller = nullptr;
       ended.next_session = m_events.now() + kSessionPause;
     });
+    if (place.caller->is_closed()) {
+      place.caller = nullptr;
+    }
   }
 }
 
