--- a/tests/model/replicated_members.cc
+++ b/tests/model/replicated_members.cc
@@ -444,8 +444,8 @@
   Member& replica = *m_members[to];
   // What was sent before a step down still arrives; what a former primary sent does not once another one leads.
   const bool outdated = m_members[from]->term < replica.term || (primary() < m_members.size() && primary() != from);
-  if (outdated || !replica.alive || replica.deaf || replica.stopped_below > Term(0) ||
-      !m_members[from]->alive || (is_cut_between && is_cut_between(from, to))) {
+  if (outdated || !replica.alive || replica.deaf || replica.stopped_below > Term(0) || !m_members[from]->alive ||
+      (is_cut_between && is_cut_between(from, to))) {
     return;
   }
   Member& leader = *m_members[from];
