--- a/tests/servers/session_host/report_ring_test.cc
+++ b/tests/servers/session_host/report_ring_test.cc
@@ -97,7 +97,8 @@
       for (const HostId& other : living) {
         others.emplace(other, FailureDomainId(domain_of(other)));
       }
-      rings.emplace(host, ReportRing(host, FailureDomainId(domain_of(host)))).first->second.set_hosts(std::move(others), std::move(living));
+      rings.emplace(host, ReportRing(host, FailureDomainId(domain_of(host))))
+          .first->second.set_hosts(std::move(others), std::move(living));
     }
     return rings;
   }
--- a/tests/servers/sessions/session_host_test.cc
+++ b/tests/servers/sessions/session_host_test.cc
@@ -207,8 +207,8 @@
     expect_unbroken(world);
   }
 
-  // Guards against replicas that stop while the last commit of a primary that steps down is on its way: no replica holds
-  // the whole log then, so the leaving primary is promoted again, and the next attempt meets the next commit.
+  // Guards against replicas that stop while the last commit of a primary that steps down is on its way: no replica
+  // holds the whole log then, so the leaving primary is promoted again, and the next attempt meets the next commit.
   void commits_on_their_way_do_not_hold_a_planned_replacement_up() {
     for (int offset = 0; offset < 40; offset += 4) {
       SessionWorld world(3);
