Give each run of the soak a range of ports of its own

The check of free ports saw TCP only. Change: a run keeps a listener on the first port of a range, and its hosts use the rest.

--- a/tests/soak/soak_network.cc
+++ b/tests/soak/soak_network.cc
@@ -2,8 +2,8 @@
 
 #include <unistd.h>
 
-#include <array>
 #include <nlohmann/json.hpp>
+#include <stdexcept>
 #include <utility>
 
 #include "tests/soak/soak_caller.h"
@@ -17,24 +17,29 @@
 /// Time after which the entry of a member that does not run lapses.
 constexpr Duration kEntryLapse = std::chrono::milliseconds(1800);
 
-/// First port of the hosts, and the ports of one run. They lie below those that the system gives to outgoing
+/// First port of the hosts of any run, and the ports of one run. They lie below those that the system gives to outgoing
 /// connections, one of which would otherwise take the port of a host that is down.
-constexpr int kFirstPort = 10000;
-constexpr int kPortsOfRun = 256;
-constexpr int kRuns = 85;
-
-/// Returns ports that are free now; a host binds them a moment later. Runs at the same time use other ports.
-HostProcess::Ports free_ports(uv_loop_t* loop, int& next) {
-  std::array<std::uint16_t, 3> ports{};
-  for (std::uint16_t& port : ports) {
-    while (port == 0) {
-      const auto candidate = static_cast<std::uint16_t>(kFirstPort + getpid() % kRuns * kPortsOfRun + next++);
-      if (testing::TcpListener::is_free(loop, candidate)) {
-        port = candidate;
-      }
+constexpr std::uint16_t kFirstPort = 10000;
+constexpr std::uint16_t kPortsOfRun = 256;
+constexpr std::uint16_t kRuns = 85;
+constexpr std::uint16_t kPortsOfHost = 3;
+
+/// Takes the first port of a range that no other run has; the rest of the range belongs to this run while the listener
+/// is open. Throws std::runtime_error if all ranges are taken.
+testing::TcpListener* reserve_ports(uv_loop_t* loop) {
+  for (int run = 0; run < kRuns; ++run) {
+    // Runs that start at the same moment look at different ranges first.
+    const auto first = static_cast<std::uint16_t>(kFirstPort + (getpid() + run) % kRuns * kPortsOfRun);
+    if (testing::TcpListener::is_free(loop, first)) {
+      return new testing::TcpListener(loop, first, [](uv_stream_t*) {});
     }
   }
-  return {ports[0], ports[1], ports[2], 0};
+  throw std::runtime_error("no range of ports is free");
+}
+
+HostProcess::Ports ports_of(std::size_t host, std::uint16_t reserved) {
+  const auto first = static_cast<std::uint16_t>(reserved + 1 + host * kPortsOfHost);
+  return {first, static_cast<std::uint16_t>(first + 1), static_cast<std::uint16_t>(first + 2), 0};
 }
 
 }  // namespace
@@ -47,10 +52,10 @@
       m_published(members.size()),
       m_seen_alive(members.size(), events.now()) {
   const auto clock = [&events] { return events.now(); };
-  int next_port = 0;
+  m_reservation = reserve_ports(loop);
   for (std::size_t index = 0; index < hosts; ++index) {
     HostSide& side = m_hosts[index];
-    side.ports = free_ports(loop, next_port);
+    side.ports = ports_of(index, m_reservation->port());
     side.links = members.links_of(index);
     const auto view = [this, index](const std::string& key, const std::string& value) {
       return seen_by(index, key, value);
@@ -72,6 +77,7 @@
 }
 
 SoakNetwork::~SoakNetwork() {
+  m_reservation->close();
   for (HostSide& side : m_hosts) {
     for (ReportRelay* const relay : side.reports) {
       if (relay != nullptr) {
--- a/tests/soak/soak_network.h
+++ b/tests/soak/soak_network.h
@@ -59,6 +59,7 @@
   model::EventQueue& m_events;
   model::ReplicatedMembers& m_members;
   testing::KvContent m_store;
+  testing::TcpListener* m_reservation = nullptr;
   std::vector<HostSide> m_hosts;
   std::uint64_t m_last_connection = 0;
   std::uint64_t m_version = 0;
