--- a/core/ports/evidence_port.h
+++ b/core/ports/evidence_port.h
@@ -28,6 +28,15 @@
   std::optional<LogPoint> position;
   /// Time since the host sent the request whose answer contained `position`.
   Duration position_age{0};
+  /// Remaining time of the newest lease on reading at `primary` in `term`, measured from the sending of the report;
+  /// zero if the sender has no valid lease. Hosts pass on leases that they have received.
+  Duration lease_remaining{0};
+  /// Duty token of the host that granted the lease; zero if there is none.
+  std::uint64_t lease_token = 0;
+  /// True if statements at the sender wait for a lease. The holder of the failover duty answers with a report at once.
+  bool requests_lease = false;
+  /// True if the sender has recently seen a sign that `primary` is not the primary, for example a refused write.
+  bool doubts_primary = false;
 };
 
 /// Report from one host to another, sent several times per second without acknowledgement.
@@ -45,6 +54,9 @@
   /// Store revision at which the sender acquired the failover duty, that is, the right to replace failed primaries;
   /// zero if it does not hold the duty.
   std::uint64_t duty_token = 0;
+  /// Highest `duty_token` that the sender has used or received. A former holder of the duty that the new holder does
+  /// not reach learns from it that it was replaced.
+  std::uint64_t newest_duty_token = 0;
   /// True if the platform's store has answered the sender recently.
   bool store_current = false;
   std::vector<PrimaryEvidence> groups;
--- a/drivers/rpc/evidence.capnp
+++ b/drivers/rpc/evidence.capnp
@@ -21,6 +21,11 @@
   # Zero if the sender knows no log position.
   position @8 :UInt64;
   positionAgeMicros @9 :Int64;
+  leaseRemainingMicros @10 :Int64;
+  # Remaining time of the sender's lease on reading at the primary. Zero if it has none.
+  leaseToken @11 :UInt64;
+  requestsLease @12 :Bool;
+  doubtsPrimary @13 :Bool;
 }
 
 struct EvidenceReport {
@@ -32,4 +37,5 @@
   dutyToken @5 :UInt64;
   # Zero if the sender does not hold the failover duty.
   storeCurrent @6 :Bool;
+  newestDutyToken @7 :UInt64;
 }
--- a/drivers/rpc/evidence_socket.cc
+++ b/drivers/rpc/evidence_socket.cc
@@ -37,6 +37,10 @@
     to.setPosition(from.position->position.value());
     to.setPositionAgeMicros(from.position_age.count());
   }
+  to.setLeaseRemainingMicros(from.lease_remaining.count());
+  to.setLeaseToken(from.lease_token);
+  to.setRequestsLease(from.requests_lease);
+  to.setDoubtsPrimary(from.doubts_primary);
 }
 
 PrimaryEvidence read_group(rpc::PrimaryEvidence::Reader from) {
@@ -52,6 +56,10 @@
     to.position = LogPoint{Term(from.getPositionTerm()), LogPosition(from.getPosition())};
     to.position_age = micros(from.getPositionAgeMicros());
   }
+  to.lease_remaining = micros(from.getLeaseRemainingMicros());
+  to.lease_token = from.getLeaseToken();
+  to.requests_lease = from.getRequestsLease();
+  to.doubts_primary = from.getDoubtsPrimary();
   return to;
 }
 
@@ -72,6 +80,7 @@
   root.setEchoHoldMicros(report.echo_delay.count());
   root.setDutyToken(report.duty_token);
   root.setStoreCurrent(report.store_current);
+  root.setNewestDutyToken(report.newest_duty_token);
   auto groups = root.initGroups(static_cast<unsigned int>(report.groups.size()));
   for (unsigned int index = 0; index < groups.size(); ++index) {
     write_group(report.groups[index], groups[index]);
@@ -95,6 +104,7 @@
     read.echo_delay = micros(root.getEchoHoldMicros());
     read.duty_token = root.getDutyToken();
     read.store_current = root.getStoreCurrent();
+    read.newest_duty_token = root.getNewestDutyToken();
     const auto groups = root.getGroups();
     if (groups.size() > kMaxGroups || read.sender.value().empty()) {
       return;
--- a/servers/catalogue/leased_record.h
+++ b/servers/catalogue/leased_record.h
@@ -55,6 +55,9 @@
   /// was paused for longer, until the next renewal succeeds.
   bool is_renewed(TimePoint now) const;
 
+  /// Returns when the last successful renewal was sent.
+  TimePoint renewed_at() const { return m_renewed_at; }
+
   void on_coordination_result(StoreCallId call, tl::expected<CoordinationResult, CoordinationError> outcome,
                               TimePoint now) override;
 
--- a/servers/explain/log_explainer.cc
+++ b/servers/explain/log_explainer.cc
@@ -22,7 +22,8 @@
 constexpr std::array<std::string_view, 6> kHostStateEvents = {"readiness",  "minority",       "configuration",
                                                               "store_lost", "store_regained", "process_paused"};
 /// Events of a group; their field `group` contains its name.
-constexpr std::array<std::string_view, 5> kGroupEvents = {"replacement", "primary_learned", "member_seen",
+constexpr std::array<std::string_view, 6> kGroupEvents = {"replacement",       "leader_announced",
+                                                          "primary_learned",   "member_seen",
                                                           "member_entry_gone", "member_connection_failed"};
 
 template <std::size_t kSize>
--- a/servers/failover/evidence_board.cc
+++ b/servers/failover/evidence_board.cc
@@ -38,6 +38,13 @@
   return evidence;
 }
 
+bool EvidenceBoard::has_fresh_evidence(const GroupId& group, TimePoint now) const {
+  return std::any_of(m_entries.begin(), m_entries.end(), [&group, now](const auto& entry) {
+    const auto found = entry.second.groups.find(group);
+    return found != entry.second.groups.end() && now - found->second.arrived_at <= kFreshFor;
+  });
+}
+
 bool EvidenceBoard::has_fresh_report(const HostId& host, TimePoint now) const {
   const auto found = m_entries.find(host);
   return found != m_entries.end() && now - found->second.arrived_at <= kFreshFor;
--- a/servers/failover/evidence_board.h
+++ b/servers/failover/evidence_board.h
@@ -25,6 +25,9 @@
   /// Returns the evidence on `group` from fresh reports, at most one entry per host, with ages as of `now`.
   std::vector<PrimaryEvidence> fresh_evidence(const GroupId& group, TimePoint now) const;
 
+  /// Returns true if a fresh report mentions `group`.
+  bool has_fresh_evidence(const GroupId& group, TimePoint now) const;
+
   /// Returns true if the last report of `host` is fresh.
   bool has_fresh_report(const HostId& host, TimePoint now) const;
 
--- a/servers/failover/failover_duty.cc
+++ b/servers/failover/failover_duty.cc
@@ -13,15 +13,21 @@
 /// first.
 constexpr Duration kStartupDelay = std::chrono::milliseconds(1000);
 
-/// Returns the evidence of this host and of the others about the member that this host considers the primary.
-std::vector<PrimaryEvidence> evidence_on_primary(const UpstreamGroup& group, const EvidenceBoard& board,
-                                                 TimePoint now) {
+/// Returns the evidence of this host and of the others about `primary`.
+std::vector<PrimaryEvidence> evidence_on(const UpstreamGroup& group, const MemberId& primary,
+                                         const EvidenceBoard& board, TimePoint now) {
   std::vector<PrimaryEvidence> all = board.fresh_evidence(group.id(), now);
   all.push_back(group.report(now));
-  std::erase_if(all, [&group](const PrimaryEvidence& evidence) { return evidence.primary != *group.primary(); });
+  std::erase_if(all, [&primary](const PrimaryEvidence& evidence) { return evidence.primary != primary; });
   return all;
 }
 
+bool answered_within(const std::vector<PrimaryEvidence>& all, Duration limit) {
+  return std::any_of(all.begin(), all.end(), [limit](const PrimaryEvidence& evidence) {
+    return evidence.last_answer_age.has_value() && *evidence.last_answer_age < limit;
+  });
+}
+
 }  // namespace
 
 FailoverDuty::FailoverDuty(FailoverServices services, std::shared_ptr<const StateChart> chart)
@@ -30,6 +36,27 @@
       m_links(m_services.links, m_services.read_report,
               [this](const ControlOutcome& outcome, TimePoint now) { on_outcome(outcome, now); }) {}
 
+FailoverDuty::GroupMonitor& FailoverDuty::monitor_of(const GroupId& id, TimePoint now) {
+  const auto found = m_monitors.find(id);
+  if (found != m_monitors.end()) {
+    return found->second;
+  }
+  ReplacementServices services{m_links,
+                               [this](const GroupId& group, const MemberId& member, FencingToken with) {
+                                 m_services.promotions.promote(group, member, m_services.self, with, *this);
+                               },
+                               m_services.renew_token,
+                               [this](const GroupId& group, const GroupLeader& leader) {
+                                 on_leader_found(m_groups->at(group), m_monitors.at(group), leader, m_now);
+                               },
+                               m_services.counters,
+                               m_services.log,
+                               m_services.tokens_are_checked};
+  GroupMonitor monitor(std::make_unique<PrimaryReplacement>(id, m_chart, std::move(services)), *m_duty_began);
+  monitor.answered_at = now;
+  return m_monitors.emplace(id, std::move(monitor)).first->second;
+}
+
 void FailoverDuty::on_tick(const std::map<GroupId, UpstreamGroup>& groups, const EvidenceBoard& board,
                            std::optional<FencingToken> token, std::size_t fleet_size, bool members_current,
                            TimePoint now) {
@@ -42,34 +69,26 @@
     end_duty();
     return;
   }
-  if (!m_on_duty) {
-    m_on_duty = true;
+  if (!m_duty_began.has_value()) {
+    m_duty_began = now;
     m_services.log.log_state_change("duty_begins", {{"token", std::to_string(token->value())}});
   }
   for (const auto& [id, group] : groups) {
-    GroupMonitor& monitor = m_monitors[id];
-    if (monitor.replacement == nullptr) {
-      ReplacementServices services{m_links,
-                                   [this](const GroupId& group_id, const MemberId& member, FencingToken with) {
-                                     m_services.promotions.promote(group_id, member, m_services.self, with, *this);
-                                   },
-                                   m_services.renew_token,
-                                   [this](const GroupId& group_id, const MemberId& member, Term term) {
-                                     m_services.listener.on_primary_found(group_id, member, term, m_now);
-                                   },
-                                   m_services.counters,
-                                   m_services.log};
-      monitor.replacement = std::make_unique<PrimaryReplacement>(id, m_chart, std::move(services));
-      monitor.answered_at = now;
-    }
-    // The replacement gets the current token and list of members before it can begin, because the first answers may
-    // arrive right after.
-    monitor.replacement->on_tick(group, *token, members_current, now);
+    GroupMonitor& monitor = monitor_of(id, now);
+    announce_leader(group, monitor, now);
+    update_leader(group, monitor, now);
+    // The replacement gets its input before it can begin, because the first answers may arrive right after.
+    monitor.replacement->on_tick(group,
+                                 {*token, members_current, monitor.leases.all_ended_at(),
+                                  *m_duty_began + PrimaryReplacement::kUnansweredPromotionTime},
+                                 now);
     if (!monitor.replacement->is_running()) {
       check_primary(group, monitor, board, fleet_size, now);
     }
+    grant_lease(group, monitor, board, now);
+    send_step_down(group, monitor, now);
   }
-  probe_groups(groups, now);
+  probe_groups(groups, board, now);
   // Connections to current members stay open. During a failover a member may have reached its connection limit.
   m_links.close_idle([&groups](const MemberId& member) {
     return std::any_of(groups.begin(), groups.end(),
@@ -78,10 +97,10 @@
 }
 
 void FailoverDuty::end_duty() {
-  if (!m_on_duty) {
+  if (!m_duty_began.has_value()) {
     return;
   }
-  m_on_duty = false;
+  m_duty_began.reset();
   m_services.log.log_state_change("duty_ends", {});
   m_monitors.clear();
   m_links.close_idle([](const MemberId&) { return false; });
@@ -90,24 +109,80 @@
 bool FailoverDuty::take_token_rejected() {
   bool rejected = false;
   for (auto& [id, monitor] : m_monitors) {
-    rejected = (monitor.replacement != nullptr && monitor.replacement->take_token_rejected()) || rejected;
+    rejected = monitor.replacement->take_token_rejected() || rejected;
   }
   return rejected;
 }
 
-void FailoverDuty::check_primary(const UpstreamGroup& group, GroupMonitor& monitor, const EvidenceBoard& board,
-                                 std::size_t fleet_size, TimePoint now) {
-  if (group.members().empty()) {
-    return;
+std::optional<TimePoint> FailoverDuty::granted_until(const GroupId& group) const {
+  const auto monitor = m_monitors.find(group);
+  return monitor == m_monitors.end() ? std::nullopt : monitor->second.leases.granted_until();
+}
+
+void FailoverDuty::on_leader_found(const UpstreamGroup& group, GroupMonitor& monitor, const GroupLeader& leader,
+                                   TimePoint now) {
+  monitor.leases.on_leader_found(leader, group.term());
+  update_leader(group, monitor, now);
+  announce_leader(group, monitor, now);
+}
+
+void FailoverDuty::announce_leader(const UpstreamGroup& group, GroupMonitor& monitor, TimePoint now) {
+  if (const auto leader = monitor.leases.take_leader(group.term(), now); leader.has_value()) {
+    m_services.log.log_state_change("leader_announced", {{"group", group.id().value()},
+                                                         {"member", leader->member.value()},
+                                                         {"term", std::to_string(leader->term.value())}});
+    m_services.listener.on_leader_announced(group.id(), *leader, now);
+  }
+}
+
+void FailoverDuty::update_leader(const UpstreamGroup& group, GroupMonitor& monitor, TimePoint now) {
+  std::optional<GroupLeader> leader = monitor.leases.unannounced();
+  if (!leader.has_value() && group.primary().has_value()) {
+    leader = GroupLeader{*group.primary(), group.term()};
   }
-  if (monitor.primary != group.primary()) {
-    monitor.primary = group.primary();
+  const bool same_member = leader.has_value() == monitor.leader.has_value() &&
+                           (!leader.has_value() || leader->member == monitor.leader->member);
+  if (!same_member) {
+    if (monitor.leader.has_value() && leader.has_value()) {
+      monitor.former = monitor.leader->member;
+      monitor.step_down_sent_at = {};
+    }
     monitor.failures = 0;
     monitor.answered_at = now;
     monitor.primary_since = now;
     monitor.leaderless_since.reset();
   }
-  const UpstreamMember* const primary = monitor.primary.has_value() ? group.find(*monitor.primary) : nullptr;
+  monitor.leader = std::move(leader);
+}
+
+void FailoverDuty::grant_lease(const UpstreamGroup& group, GroupMonitor& monitor, const EvidenceBoard& board,
+                               TimePoint now) {
+  if (group.term() == Term(0) || monitor.replacement->is_running() || is_suspected(group, monitor, board, now)) {
+    return;
+  }
+  monitor.leases.grant(now);
+}
+
+void FailoverDuty::send_step_down(const UpstreamGroup& group, GroupMonitor& monitor, TimePoint now) {
+  if (!monitor.former.has_value() || monitor.replacement->is_running() ||
+      now < monitor.step_down_sent_at + kStepDownInterval) {
+    return;
+  }
+  const UpstreamMember* const former = group.find(*monitor.former);
+  if (former == nullptr || !monitor.leader.has_value() || monitor.leader->member == *monitor.former) {
+    monitor.former.reset();
+    return;
+  }
+  monitor.step_down_sent_at = now;
+  m_links.command(group.id(), former->entry, MemberCommandKind::kStepDown, monitor.leader->term, now);
+}
+
+void FailoverDuty::check_primary(const UpstreamGroup& group, GroupMonitor& monitor, const EvidenceBoard& board,
+                                 std::size_t fleet_size, TimePoint now) {
+  if (group.members().empty()) {
+    return;
+  }
+  const UpstreamMember* const primary = monitor.leader.has_value() ? group.find(monitor.leader->member) : nullptr;
   if (primary == nullptr && !monitor.leaderless_since.has_value()) {
     monitor.leaderless_since = now;
   }
@@ -115,32 +190,37 @@
   if (now < *m_first_tick + kStartupDelay) {
     return;
   }
+  PrimaryReplacement& replacement = *monitor.replacement;
   if (monitor.leaderless_since.has_value() && *monitor.leaderless_since + kNoPrimaryTimeout <= now) {
     monitor.leaderless_since.reset();
-    monitor.replacement->begin(ReplacementReason::kNoPrimary, now);
+    replacement.begin(ReplacementReason::kNoPrimary, monitor.leader, now);
   } else if (primary == nullptr) {
     return;
   } else if (primary->leaving_since.has_value()) {
-    monitor.replacement->begin(ReplacementReason::kLeaving, now);
+    replacement.begin(ReplacementReason::kLeaving, monitor.leader, now);
   } else if (monitor.stopped_replica) {
     monitor.stopped_replica = false;
-    monitor.replacement->begin(ReplacementReason::kStoppedReplica, now);
-  } else if (is_silent_for_majority(group, board, now) || is_lost(group, monitor, board, fleet_size, now)) {
-    monitor.replacement->begin(ReplacementReason::kSilent, now);
-  } else if (now >= monitor.primary_since + kCommitStallTimeout && is_stalled(group, board, now)) {
-    monitor.replacement->begin(ReplacementReason::kStalledCommits, now);
+    replacement.begin(ReplacementReason::kStoppedReplica, monitor.leader, now);
+  } else if (is_silent_for_majority(group, monitor.leader->member, board, now) ||
+             is_lost(group, monitor, board, fleet_size, now)) {
+    replacement.begin(ReplacementReason::kSilent, monitor.leader, now);
+  } else if (now >= monitor.primary_since + kCommitStallTimeout &&
+             is_stalled(group, monitor.leader->member, board, now)) {
+    replacement.begin(ReplacementReason::kStalledCommits, monitor.leader, now);
   }
 }
 
 void FailoverDuty::note_answers(const UpstreamGroup& group, GroupMonitor& monitor, TimePoint now) {
-  const std::optional<Duration> age = group.report(now).last_answer_age;
-  if (age.has_value() && *age < kProbeAfter) {
-    monitor.answered_at = std::max(monitor.answered_at, now - *age);
+  const PrimaryEvidence own = group.report(now);
+  if (monitor.leader.has_value() && own.primary == monitor.leader->member && own.last_answer_age.has_value() &&
+      *own.last_answer_age < kProbeAfter) {
+    monitor.answered_at = std::max(monitor.answered_at, now - *own.last_answer_age);
     monitor.failures = 0;
   }
 }
 
-void FailoverDuty::probe_groups(const std::map<GroupId, UpstreamGroup>& groups, TimePoint now) {
+void FailoverDuty::probe_groups(const std::map<GroupId, UpstreamGroup>& groups, const EvidenceBoard& board,
+                                TimePoint now) {
   const std::chrono::duration<double> elapsed = now - std::exchange(m_probes_refilled_at, now);
   m_probe_tokens = std::min(kProbeBurst, m_probe_tokens + elapsed.count() * kProbesPerSecond);
   auto next = groups.upper_bound(m_probed_last);
@@ -148,7 +228,7 @@
     next = next == groups.end() ? groups.begin() : next;
     GroupMonitor& monitor = m_monitors.at(next->first);
     if (!monitor.replacement->is_running() && !next->second.members().empty()) {
-      probe(next->second, monitor, now);
+      probe(next->second, monitor, is_doubted(next->second, board, now), now);
     }
     m_probed_last = next->first;
     ++next;
@@ -161,19 +241,23 @@
   }
 }
 
-void FailoverDuty::probe(const UpstreamGroup& group, GroupMonitor& monitor, TimePoint now) {
-  const UpstreamMember* const primary = monitor.primary.has_value() ? group.find(*monitor.primary) : nullptr;
-  const std::optional<Duration> last_answer_age = group.report(now).last_answer_age;
-  const bool answered_recently = last_answer_age.has_value() && *last_answer_age < kProbeAfter;
+void FailoverDuty::probe(const UpstreamGroup& group, GroupMonitor& monitor, bool in_doubt, TimePoint now) {
+  const UpstreamMember* const primary = monitor.leader.has_value() ? group.find(monitor.leader->member) : nullptr;
+  const PrimaryEvidence own = group.report(now);
+  const bool answered_recently = primary != nullptr && own.primary == primary->entry.member &&
+                                 own.last_answer_age.has_value() && *own.last_answer_age < kProbeAfter;
+  const bool asks_all = primary == nullptr || (in_doubt && monitor.replicas_checked_at + kDoubtInterval <= now);
   const Duration interval = monitor.failures > 0 ? kTickInterval : kProbeAfter;
-  if (primary != nullptr && !answered_recently && monitor.probed_at + interval <= now) {
+  // A member that only its own entry names as primary is asked at once, because its term is not known.
+  const bool unconfirmed = group.term() == Term(0) && !monitor.leases.unannounced().has_value();
+  if (primary != nullptr && (asks_all || unconfirmed || (!answered_recently && monitor.probed_at + interval <= now))) {
     monitor.probed_at = now;
     send_probe(group.id(), primary->entry, now);
   }
-  if (monitor.replicas_checked_at + kReplicaCheckInterval <= now || primary == nullptr) {
+  if (monitor.replicas_checked_at + kReplicaCheckInterval <= now || asks_all) {
     monitor.replicas_checked_at = now;
     for (const auto& [id, member] : group.members()) {
-      if (monitor.primary != id) {
+      if (primary == nullptr || primary->entry.member != id) {
         send_probe(group.id(), member.entry, now);
       }
     }
@@ -191,15 +275,18 @@
     return;
   }
   m_now = now;
+  const bool from_leader = monitor.leader.has_value() && monitor.leader->member == outcome.member;
+  if (outcome.report.has_value() && monitor.former == outcome.member && !outcome.report->is_primary) {
+    monitor.former.reset();
+  }
   if (monitor.replacement->is_running()) {
     monitor.replacement->on_outcome(group->second, outcome, now);
     return;
   }
   if (outcome.report.has_value() && outcome.report->is_primary) {
-    m_services.listener.on_primary_position(outcome.group, outcome.report->received, outcome.sent_at);
-    m_services.listener.on_primary_found(outcome.group, outcome.member, outcome.report->term, now);
+    on_primary_report(group->second, monitor, outcome, now);
   }
-  if (outcome.member != monitor.primary) {
+  if (!from_leader) {
     if (outcome.report.has_value() && !outcome.report->is_primary && outcome.report->stopped_below > Term(0)) {
       monitor.stopped_replica = true;
     }
@@ -221,9 +308,21 @@
   }
 }
 
+void FailoverDuty::on_primary_report(const UpstreamGroup& group, GroupMonitor& monitor, const ControlOutcome& outcome,
+                                     TimePoint now) {
+  const Term known = monitor.leader.has_value() ? monitor.leader->term : Term(0);
+  if (outcome.report->term < known) {
+    // The member was replaced and has not noticed.
+    monitor.former = outcome.member;
+    return;
+  }
+  m_services.listener.on_primary_position(outcome.group, outcome.report->received, outcome.sent_at);
+  on_leader_found(group, monitor, {outcome.member, outcome.report->term}, now);
+}
+
 void FailoverDuty::on_promotion(const GroupId& group, const MemberId& member, PromotionOutcome outcome, TimePoint now) {
   const auto found = m_monitors.find(group);
-  if (found != m_monitors.end() && found->second.replacement != nullptr) {
+  if (found != m_monitors.end()) {
     m_now = now;
     found->second.replacement->on_promotion(member, outcome, now);
   }
@@ -237,7 +336,7 @@
   std::size_t hosts_with_answer = 0;
   std::size_t hosts_without_answer = 1;
   for (const PrimaryEvidence& evidence : board.fresh_evidence(group.id(), now)) {
-    if (evidence.primary != *monitor.primary) {
+    if (evidence.primary != monitor.leader->member) {
       continue;
     }
     if (evidence.last_answer_age.has_value() && *evidence.last_answer_age < kMaxAgeOfAnswerElsewhere) {
@@ -254,22 +353,40 @@
          (hosts_without_answer > hosts_with_answer && now >= monitor.answered_at + 2 * kUnansweredTimeout);
 }
 
-bool FailoverDuty::is_silent_for_majority(const UpstreamGroup& group, const EvidenceBoard& board, TimePoint now) {
-  const std::vector<PrimaryEvidence> all = evidence_on_primary(group, board, now);
-  const bool answers_any_host = std::any_of(all.begin(), all.end(), [](const PrimaryEvidence& evidence) {
-    return evidence.last_answer_age.has_value() && *evidence.last_answer_age < kMaxAgeOfAnswerElsewhere;
-  });
+bool FailoverDuty::is_silent_for_majority(const UpstreamGroup& group, const MemberId& primary,
+                                          const EvidenceBoard& board, TimePoint now) {
+  const std::vector<PrimaryEvidence> all = evidence_on(group, primary, board, now);
   const auto hosts_without_answer =
       static_cast<std::size_t>(std::count_if(all.begin(), all.end(), [](const PrimaryEvidence& evidence) {
         return evidence.unanswered_for >= kUnansweredTimeout;
       }));
   // Hosts whose reports do not mention the group are not waiting for its primary.
-  return !answers_any_host && hosts_without_answer >= 2 &&
+  return !answered_within(all, kMaxAgeOfAnswerElsewhere) && hosts_without_answer >= 2 &&
          2 * hosts_without_answer > 1 + board.hosts_with_fresh_report(now);
 }
 
-bool FailoverDuty::is_stalled(const UpstreamGroup& group, const EvidenceBoard& board, TimePoint now) {
-  const std::vector<PrimaryEvidence> all = evidence_on_primary(group, board, now);
+bool FailoverDuty::is_suspected(const UpstreamGroup& group, const GroupMonitor& monitor, const EvidenceBoard& board,
+                                TimePoint now) {
+  if (!monitor.leader.has_value()) {
+    return true;
+  }
+  const std::vector<PrimaryEvidence> all = evidence_on(group, monitor.leader->member, board, now);
+  const bool is_awaited = std::any_of(all.begin(), all.end(), [](const PrimaryEvidence& evidence) {
+    return evidence.unanswered_for >= kSuspicionTimeout;
+  });
+  return (is_awaited || monitor.failures > 0) && !answered_within(all, kSuspicionTimeout);
+}
+
+bool FailoverDuty::is_doubted(const UpstreamGroup& group, const EvidenceBoard& board, TimePoint now) {
+  const std::vector<PrimaryEvidence> others = board.fresh_evidence(group.id(), now);
+  return group.doubts_primary(now) || std::any_of(others.begin(), others.end(), [](const PrimaryEvidence& evidence) {
+           return evidence.doubts_primary;
+         });
+}
+
+bool FailoverDuty::is_stalled(const UpstreamGroup& group, const MemberId& primary, const EvidenceBoard& board,
+                              TimePoint now) {
+  const std::vector<PrimaryEvidence> all = evidence_on(group, primary, board, now);
   const bool acknowledged = std::any_of(all.begin(), all.end(), [](const PrimaryEvidence& evidence) {
     return evidence.commit_age.has_value() && *evidence.commit_age < kCommitStallTimeout;
   });
--- a/servers/failover/failover_duty.h
+++ b/servers/failover/failover_duty.h
@@ -7,6 +7,7 @@
 
 #include "servers/failover/control_links.h"
 #include "servers/failover/evidence_board.h"
+#include "servers/failover/primary_lease_grants.h"
 #include "servers/failover/primary_replacement.h"
 
 namespace teaselrudder {
@@ -21,7 +22,8 @@
 
   /// Called when a primary reported its log position: it held `position` at `at`.
   virtual void on_primary_position(const GroupId& group, const LogPoint& position, TimePoint at) = 0;
-  virtual void on_primary_found(const GroupId& group, const MemberId& member, Term term, TimePoint now) = 0;
+  /// Called when `leader` is announced as the primary of the group: leases on earlier primaries have run out.
+  virtual void on_leader_announced(const GroupId& group, const GroupLeader& leader, TimePoint now) = 0;
 };
 
 /// Dependencies of a FailoverDuty; all references must outlive it.
@@ -35,16 +37,25 @@
   Counters& counters;
   EventLogPort& log;
   HostId self;
+  /// True if the platform rejects a promotion whose fencing token is lower than one used before.
+  bool tokens_are_checked = true;
 };
 
-/// The failover duty, which one host of the fleet holds through a lease: monitors the primaries of all groups and
-/// replaces those that are lost or leaving.
+/// The failover duty, which one host of the fleet holds through a lease in the store: monitors the primaries of all
+/// groups, replaces those that are lost or leaving, announces new ones, and grants leases on reading at them.
 class FailoverDuty final : private PromotionEvents {
  public:
   /// Maximum time between two checks of all groups; every tick of the host checks them.
   static constexpr Duration kTickInterval = std::chrono::milliseconds(50);
   /// Time without an answer from a primary to callers' statements after which it is probed with a status command.
   static constexpr Duration kProbeAfter = std::chrono::milliseconds(300);
+  /// Time without an answer of a primary to any host after which no more leases on it are granted, while some host
+  /// waits for one. Shorter than kUnansweredTimeout, so that the leases end while the primary is being replaced.
+  static constexpr Duration kSuspicionTimeout = std::chrono::milliseconds(400);
+  /// Minimum time between two questions to the members of a group whose primary is in doubt.
+  static constexpr Duration kDoubtInterval = std::chrono::milliseconds(150);
+  /// Minimum time between two commands that tell a former primary to step down.
+  static constexpr Duration kStepDownInterval = std::chrono::milliseconds(300);
   /// Time without an answer after which this host considers a primary lost, if at least two probes on new connections
   /// have failed as well.
   static constexpr Duration kUnansweredTimeout = std::chrono::milliseconds(700);
@@ -71,13 +82,24 @@
                std::optional<FencingToken> token, std::size_t fleet_size, bool members_current, TimePoint now);
   TimePoint next_wakeup() const { return m_next_tick; }
 
+  /// Returns the end of the lease on reading at the announced primary of `group`; nothing if none is granted.
+  std::optional<TimePoint> granted_until(const GroupId& group) const;
+
   /// Returns true once after the platform rejected the token.
   bool take_token_rejected();
 
  private:
   struct GroupMonitor {
+    GroupMonitor(std::unique_ptr<PrimaryReplacement> replacement_of_group, TimePoint duty_began)
+        : replacement(std::move(replacement_of_group)), leases(duty_began) {}
+
     std::unique_ptr<PrimaryReplacement> replacement;
-    std::optional<MemberId> primary;
+    PrimaryLeaseGrants leases;
+    /// The newest known primary; it may not be announced yet.
+    std::optional<GroupLeader> leader;
+    /// A replaced primary that has not confirmed that it stepped down.
+    std::optional<MemberId> former;
+    TimePoint step_down_sent_at;
     /// Number of consecutive failed probes of the primary.
     std::uint32_t failures = 0;
     TimePoint answered_at;
@@ -92,29 +114,46 @@
 
   void on_promotion(const GroupId& group, const MemberId& member, PromotionOutcome outcome, TimePoint now) override;
   void on_outcome(const ControlOutcome& outcome, TimePoint now);
+  void on_primary_report(const UpstreamGroup& group, GroupMonitor& monitor, const ControlOutcome& outcome,
+                         TimePoint now);
   void end_duty();
+  /// Returns the monitor of the group; creates it if there is none.
+  GroupMonitor& monitor_of(const GroupId& group, TimePoint now);
+  void on_leader_found(const UpstreamGroup& group, GroupMonitor& monitor, const GroupLeader& leader, TimePoint now);
+  void announce_leader(const UpstreamGroup& group, GroupMonitor& monitor, TimePoint now);
+  /// Follows the announced primary and the one that waits for its announcement.
+  void update_leader(const UpstreamGroup& group, GroupMonitor& monitor, TimePoint now);
+  void grant_lease(const UpstreamGroup& group, GroupMonitor& monitor, const EvidenceBoard& board, TimePoint now);
+  void send_step_down(const UpstreamGroup& group, GroupMonitor& monitor, TimePoint now);
   void check_primary(const UpstreamGroup& group, GroupMonitor& monitor, const EvidenceBoard& board,
                      std::size_t fleet_size, TimePoint now);
   /// Notes answers of the primary on this host's connections for callers' statements.
   static void note_answers(const UpstreamGroup& group, GroupMonitor& monitor, TimePoint now);
   /// Probes members that have not answered recently, in round-robin order of the groups, as far as the rate limit
   /// allows.
-  void probe_groups(const std::map<GroupId, UpstreamGroup>& groups, TimePoint now);
-  void probe(const UpstreamGroup& group, GroupMonitor& monitor, TimePoint now);
+  void probe_groups(const std::map<GroupId, UpstreamGroup>& groups, const EvidenceBoard& board, TimePoint now);
+  void probe(const UpstreamGroup& group, GroupMonitor& monitor, bool in_doubt, TimePoint now);
   void send_probe(const GroupId& group, const MemberEntry& member, TimePoint now);
   bool is_lost(const UpstreamGroup& group, const GroupMonitor& monitor, const EvidenceBoard& board,
                std::size_t fleet_size, TimePoint now) const;
   /// Returns true if no host has a recent answer from the primary and most hosts with fresh reports are waiting for
   /// one.
-  static bool is_silent_for_majority(const UpstreamGroup& group, const EvidenceBoard& board, TimePoint now);
-  static bool is_stalled(const UpstreamGroup& group, const EvidenceBoard& board, TimePoint now);
+  static bool is_silent_for_majority(const UpstreamGroup& group, const MemberId& primary, const EvidenceBoard& board,
+                                     TimePoint now);
+  /// Returns true if some host waits for an answer of the primary and none has had one recently.
+  static bool is_suspected(const UpstreamGroup& group, const GroupMonitor& monitor, const EvidenceBoard& board,
+                           TimePoint now);
+  static bool is_doubted(const UpstreamGroup& group, const EvidenceBoard& board, TimePoint now);
+  static bool is_stalled(const UpstreamGroup& group, const MemberId& primary, const EvidenceBoard& board,
+                         TimePoint now);
 
   FailoverServices m_services;
   std::shared_ptr<const StateChart> m_chart;
   ControlLinks m_links;
   std::map<GroupId, GroupMonitor> m_monitors;
   const std::map<GroupId, UpstreamGroup>* m_groups = nullptr;
-  bool m_on_duty = false;
+  /// When this host took the duty; nothing if it does not hold it.
+  std::optional<TimePoint> m_duty_began;
   std::optional<TimePoint> m_first_tick;
   TimePoint m_now;
   TimePoint m_next_tick;
--- /dev/null
+++ b/servers/failover/primary_lease_grants.cc
@@ -0,0 +1,37 @@
+#include "servers/failover/primary_lease_grants.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace teaselrudder {
+
+void PrimaryLeaseGrants::grant(TimePoint now) {
+  if (!m_unannounced.has_value() && now >= m_duty_began + kTakeoverSilence) {
+    m_granted_until = now + kTimeToLive;
+  }
+}
+
+TimePoint PrimaryLeaseGrants::all_ended_at() const {
+  const TimePoint former = m_duty_began + kTakeoverWait;
+  return m_granted_until.has_value() ? std::max(former, *m_granted_until + kClockMargin) : former;
+}
+
+void PrimaryLeaseGrants::on_leader_found(const GroupLeader& leader, Term announced) {
+  const Term newest = m_unannounced.has_value() ? std::max(announced, m_unannounced->term) : announced;
+  if (leader.term > newest) {
+    m_unannounced = leader;
+  }
+}
+
+std::optional<GroupLeader> PrimaryLeaseGrants::take_leader(Term announced, TimePoint now) {
+  if (m_unannounced.has_value() && m_unannounced->term <= announced) {
+    m_unannounced.reset();
+  }
+  if (!m_unannounced.has_value() || now < all_ended_at()) {
+    return std::nullopt;
+  }
+  m_granted_until.reset();
+  return std::exchange(m_unannounced, std::nullopt);
+}
+
+}  // namespace teaselrudder
--- /dev/null
+++ b/servers/failover/primary_lease_grants.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include <optional>
+
+#include "core/group_leader.h"
+#include "core/time.h"
+
+namespace teaselrudder {
+
+/// The leases on one group that the holder of the failover duty grants.
+///
+/// A lease allows the hosts to read at the primary of a term for a bounded time. A new leader is announced only when
+/// the leases of earlier terms have run out. Since hosts commit in a term only after its leader was announced, no
+/// commit of a later term is acknowledged while a lease is valid, and a read at the leased primary sees every
+/// acknowledged commit, even if the primary was replaced and has not noticed. (Leases: Gray and Cheriton, "Leases: An
+/// Efficient Fault-Tolerant Mechanism for Distributed File Cache Consistency", 1989.)
+///
+/// Hosts measure leases on clocks that also run while a machine is suspended, from the time at which the holder sent
+/// them, so only differences in the rate of the clocks matter.
+class PrimaryLeaseGrants {
+ public:
+  /// Time to live of a lease: three reports between hosts, so that two may be lost.
+  static constexpr Duration kTimeToLive = std::chrono::milliseconds(900);
+  /// Bound on the difference between two clocks within one lease.
+  static constexpr Duration kClockMargin = std::chrono::milliseconds(20);
+  /// Time after the begin of the duty in which no leader is announced: leases of the former holder may be valid, and a
+  /// former holder that could not be reached learns only from a third host that it was replaced.
+  static constexpr Duration kTakeoverWait = kTimeToLive + std::chrono::milliseconds(500);
+  /// Time after the begin of the duty in which no lease is granted, so that reports of other hosts can tell of a leader
+  /// that the former holder announced.
+  static constexpr Duration kTakeoverSilence = std::chrono::milliseconds(300);
+
+  explicit PrimaryLeaseGrants(TimePoint duty_began) : m_duty_began(duty_began) {}
+
+  /// Grants a lease on the announced leader, unless another leader waits for its announcement or the duty has only just
+  /// begun.
+  void grant(TimePoint now);
+
+  /// Returns the end of the lease that reports may pass on; nothing if none has been granted.
+  std::optional<TimePoint> granted_until() const { return m_granted_until; }
+
+  /// Returns the time at which all granted leases, those of the former holder included, have run out.
+  TimePoint all_ended_at() const;
+
+  /// Notes that a member reported that it leads. It is announced later if its term is above `announced`.
+  void on_leader_found(const GroupLeader& leader, Term announced);
+
+  /// Returns the leader that waits for its announcement.
+  const std::optional<GroupLeader>& unannounced() const { return m_unannounced; }
+
+  /// Returns the waiting leader once the leases of earlier terms have run out. Drops it if `announced` is a later term.
+  std::optional<GroupLeader> take_leader(Term announced, TimePoint now);
+
+ private:
+  TimePoint m_duty_began;
+  std::optional<TimePoint> m_granted_until;
+  std::optional<GroupLeader> m_unannounced;
+};
+
+}  // namespace teaselrudder
--- a/servers/failover/primary_replacement.cc
+++ b/servers/failover/primary_replacement.cc
@@ -91,11 +91,12 @@
   return m_reason == ReplacementReason::kLeaving || m_reason == ReplacementReason::kStoppedReplica;
 }
 
-void PrimaryReplacement::begin(ReplacementReason reason, TimePoint now) {
+void PrimaryReplacement::begin(ReplacementReason reason, const std::optional<GroupLeader>& leader, TimePoint now) {
   if (is_running() || now < m_earliest_begin) {
     return;
   }
   m_reason = reason;
+  m_leader = leader;
   m_began_at = now;
   m_term = Term(0);
   m_old_primary.reset();
@@ -125,7 +126,7 @@
 }
 
 bool PrimaryReplacement::knows_all_replicas(const UpstreamGroup& group) const {
-  return m_members_current || count_replicas(group) + 1 >= group.largest_size();
+  return m_input.members_current || count_replicas(group) + 1 >= group.largest_size();
 }
 
 void PrimaryReplacement::send_command(const UpstreamGroup& group, const MemberId& member, MemberCommandKind command,
@@ -140,9 +141,8 @@
   }
 }
 
-void PrimaryReplacement::on_tick(const UpstreamGroup& group, FencingToken token, bool members_current, TimePoint now) {
-  m_members_current = members_current;
-  m_token = token;
+void PrimaryReplacement::on_tick(const UpstreamGroup& group, const ReplacementInput& input, TimePoint now) {
+  m_input = input;
   switch (state()) {
     case ReplacementState::kWatching:
       return;
@@ -156,7 +156,7 @@
       advance_stop(group, now);
       return;
     case ReplacementState::kPromoting:
-      advance_promotion(token, now);
+      advance_promotion(group, now);
       return;
     case ReplacementState::kVerifying:
       advance_verification(group, now);
@@ -165,8 +165,8 @@
 }
 
 bool PrimaryReplacement::waits_for_token(TimePoint now) {
-  if (!m_unanswered_promotion.has_value() || m_unanswered_promotion->second < m_token ||
-      now >= m_unanswered_promotion_until) {
+  if (!m_services.tokens_are_checked || !m_unanswered_promotion.has_value() ||
+      m_unanswered_promotion->second < m_input.token || now >= m_unanswered_promotion_until) {
     return false;
   }
   if (now >= m_next_promotion) {
@@ -184,7 +184,8 @@
   if (waits_for_token(now)) {
     return;
   }
-  m_old_primary = group.primary();
+  m_old_primary = m_leader.has_value() ? std::optional<MemberId>(m_leader->member) : std::nullopt;
+  const Term known_term = m_leader.has_value() ? m_leader->term : group.term();
   bool complete = true;
   for (const auto& [id, member] : group.members()) {
     if (m_reports.contains(id)) {
@@ -203,13 +204,13 @@
     // It is no longer the primary, so it is treated as a replica. It may be the one with the complete log.
     m_old_primary.reset();
   }
-  Term newest = group.term();
-  m_current_term = group.term();
+  Term newest = known_term;
+  m_current_term = known_term;
   for (const auto& [id, report] : m_reports) {
     m_current_term = std::max(m_current_term, report.term);
     newest = std::max({newest, report.term, report.stopped_below});
-    if (report.is_primary && m_old_primary != id && report.term > group.term()) {
-      m_services.on_primary(m_group, id, report.term);
+    if (report.is_primary && m_old_primary != id && report.term > known_term) {
+      m_services.on_leader(m_group, {id, report.term});
       fire(ReplacementEvent::kLeads, "another member is already the primary", now);
       return;
     }
@@ -271,7 +272,10 @@
     }
     if (!m_stopped.contains(id)) {
       complete = false;
-      send_command(group, id, MemberCommandKind::kStopReceiving, now);
+      // A primary of an earlier term that has not noticed its replacement becomes a replica first.
+      const auto report = m_reports.find(id);
+      const bool claims_to_lead = report != m_reports.end() && report->second.is_primary;
+      send_command(group, id, claims_to_lead ? MemberCommandKind::kStepDown : MemberCommandKind::kStopReceiving, now);
     }
   }
   if (count_replicas(group) == 0) {
@@ -300,10 +304,10 @@
 }
 
 bool PrimaryReplacement::holds_whole_log(const UpstreamGroup& group, const LogPoint& received) const {
-  if (m_stopped.size() >= std::max<std::size_t>(group.largest_size(), 1)) {
-    // As many members, including the old primary, have stopped as this host has ever seen in the group at the same
-    // time. Only the numbers are compared. These members are assumed to be the whole group, so that the highest
-    // position contains all acknowledged commits.
+  if (m_stopped.size() >= std::max<std::size_t>({group.largest_size(), group.members().size(), 1})) {
+    // All known members, including the old primary, have stopped, and as many as this host has ever seen in the group
+    // at the same time. Only the numbers are compared. These members are assumed to be the whole group, so that the
+    // highest position contains all acknowledged commits.
     return true;
   }
   if (m_final_position.has_value()) {
@@ -324,31 +328,52 @@
     const UpstreamMember* const known = group.find(member);
     return known == nullptr || known->leaving_since.has_value();
   };
-  const auto better = [&is_leaving](const auto& left, const auto& right) {
+  const auto is_ordered = [this](const MemberId& member) {
+    return m_unanswered_promotion.has_value() && m_unanswered_promotion->first == member;
+  };
+  const auto better = [&is_leaving, &is_ordered](const auto& left, const auto& right) {
     if (left.second != right.second) {
       return left.second < right.second;
     }
+    if (is_ordered(left.first) != is_ordered(right.first)) {
+      // The earlier order for this member may still take effect, so another member could not keep its role.
+      return is_ordered(right.first);
+    }
     return is_leaving(left.first) && !is_leaving(right.first);
   };
   m_candidate = std::max_element(m_stopped.begin(), m_stopped.end(), better)->first;
 }
 
-void PrimaryReplacement::advance_promotion(FencingToken token, TimePoint now) {
+bool PrimaryReplacement::conflicts_with_unanswered(const UpstreamGroup& group, TimePoint now) const {
+  if (!m_unanswered_promotion.has_value() || m_unanswered_promotion->first == *m_candidate ||
+      now >= m_unanswered_promotion_until) {
+    return false;
+  }
+  if (m_services.tokens_are_checked) {
+    return m_unanswered_promotion->second >= m_input.token;
+  }
+  // No token stops the earlier order. It has no effect if its member has left the group.
+  return group.find(m_unanswered_promotion->first) != nullptr;
+}
+
+void PrimaryReplacement::advance_promotion(const UpstreamGroup& group, TimePoint now) {
   if (m_promotion_sent || now < m_next_promotion) {
     return;
   }
-  // An unanswered order for another member may still be carried out later. Only a higher token prevents it from
-  // replacing the candidate.
-  if (m_unanswered_promotion.has_value() && m_unanswered_promotion->first != *m_candidate &&
-      m_unanswered_promotion->second >= token) {
-    m_services.renew_token();
+  if (!group.configuration().synchronous && now < m_input.leases_end_at) {
+    return;
+  }
+  if (conflicts_with_unanswered(group, now)) {
+    if (m_services.tokens_are_checked) {
+      m_services.renew_token();
+    }
     m_next_promotion = now + kRefusalRetryDelay;
     return;
   }
   m_promotion_sent = true;
-  m_sent_token = token;
+  m_sent_token = m_input.token;
   m_services.counters.count("promotions_ordered");
-  m_services.promote(m_group, *m_candidate, token);
+  m_services.promote(m_group, *m_candidate, m_sent_token);
 }
 
 void PrimaryReplacement::advance_verification(const UpstreamGroup& group, TimePoint now) {
@@ -374,7 +399,7 @@
     m_reports[outcome.member] = report;
     const bool leads_anew = report.is_primary && !from_primary && report.term >= m_term && m_term != Term(0);
     if (leads_anew || (report.is_primary && m_candidate == outcome.member)) {
-      m_services.on_primary(m_group, outcome.member, report.term);
+      m_services.on_leader(m_group, {outcome.member, report.term});
       m_services.counters.count("replacements_done");
       fire(ReplacementEvent::kLeads, "member reports that it is the primary", now);
       return;
@@ -429,17 +454,22 @@
   }
 }
 
-void PrimaryReplacement::give_up(const UpstreamGroup& group, const std::string& cause, TimePoint now) {
-  m_services.counters.count("replacements_given_up");
-  // Replicas are resumed only if no promotion order can be outstanding. Otherwise they stay stopped until the next
-  // replacement completes.
-  if (!m_promotion_sent && now >= m_unanswered_promotion_until) {
-    for (const auto& [member, position] : m_stopped) {
-      if (const UpstreamMember* const known = group.find(member); known != nullptr) {
-        m_services.links.command(m_group, known->entry, MemberCommandKind::kResumeReceiving, m_term, now);
-      }
+void PrimaryReplacement::resume_replicas(const UpstreamGroup& group, TimePoint now) {
+  if (m_promotion_sent || now < m_unanswered_promotion_until) {
+    return;
+  }
+  for (const auto& [member, report] : m_reports) {
+    const bool stopped_here = m_stopped.contains(member) && m_services.tokens_are_checked;
+    const bool is_stopped = stopped_here || (report.stopped_below > Term(0) && now >= m_input.former_orders_end_at);
+    if (const UpstreamMember* const known = group.find(member); known != nullptr && is_stopped) {
+      m_services.links.command(m_group, known->entry, MemberCommandKind::kResumeReceiving, m_term, now);
     }
   }
+}
+
+void PrimaryReplacement::give_up(const UpstreamGroup& group, const std::string& cause, TimePoint now) {
+  m_services.counters.count("replacements_given_up");
+  resume_replicas(group, now);
   m_earliest_begin = now + kGiveUpBackoff;
   fire(ReplacementEvent::kGivenUp, cause, now);
 }
--- a/servers/failover/primary_replacement.h
+++ b/servers/failover/primary_replacement.h
@@ -12,6 +12,7 @@
 #include "core/ports/event_log_port.h"
 #include "core/ports/promotion_port.h"
 #include "servers/failover/control_links.h"
+#include "servers/failover/primary_lease_grants.h"
 #include "servers/sessions/upstream_group.h"
 
 namespace teaselrudder {
@@ -51,9 +52,23 @@
   std::function<void(const GroupId&, const MemberId&, FencingToken)> promote;
   /// Requests a higher fencing token.
   std::function<void()> renew_token;
-  std::function<void(const GroupId&, const MemberId&, Term)> on_primary;
+  std::function<void(const GroupId&, const GroupLeader&)> on_leader;
   Counters& counters;
   EventLogPort& log;
+  /// True if the platform rejects a promotion whose fencing token is lower than one used before.
+  bool tokens_are_checked = true;
+};
+
+/// What a replacement must know about the duty and the group each time it advances.
+struct ReplacementInput {
+  /// Fencing token that this host holds now.
+  FencingToken token;
+  /// True if the store has recently confirmed the list of members.
+  bool members_current = false;
+  /// When the last lease on reading at the old primary runs out.
+  TimePoint leases_end_at;
+  /// When no promotion order of an earlier holder of the duty can take effect any more.
+  TimePoint former_orders_end_at;
 };
 
 /// Replaces the primary of one group without losing an acknowledged commit.
@@ -68,6 +83,9 @@
 /// of earlier terms that no replica has received yet, so the candidate must have received a commit of the current term
 /// or everything that the old primary holds. And a replica that has left the group may have been the only one with some
 /// commit, so the candidate must have received what the primary held after that replica left.
+///
+/// If the group replicates asynchronously, the old primary acknowledges commits alone. It is then replaced only after
+/// all leases on it have run out, because hosts accept its acknowledgements only under a lease.
 class PrimaryReplacement {
  public:
   /// Timeout of the survey. If the group replicates asynchronously, this is also the time after which the replacement
@@ -87,14 +105,14 @@
 
   PrimaryReplacement(GroupId group, std::shared_ptr<const StateChart> chart, ReplacementServices services);
 
-  /// Starts a replacement, unless one is running or the delay after the last one that gave up has not passed.
-  void begin(ReplacementReason reason, TimePoint now);
+  /// Starts a replacement of `leader`, the last known primary, unless one is running or the delay after the last one
+  /// that gave up has not passed.
+  void begin(ReplacementReason reason, const std::optional<GroupLeader>& leader, TimePoint now);
 
-  /// Advances the replacement. `token` is the fencing token that this host holds now. `members_current` is true if the
-  /// store has recently confirmed the list of members. If it is false, the group may have a replica that this host does
+  /// Advances the replacement. If the list of members is not current, the group may have a replica that this host does
   /// not know and that alone holds an acknowledged commit, so the replacement only goes on if at least as many members
   /// are known as this host has ever seen in the group at the same time (UpstreamGroup::largest_size()).
-  void on_tick(const UpstreamGroup& group, FencingToken token, bool members_current, TimePoint now);
+  void on_tick(const UpstreamGroup& group, const ReplacementInput& input, TimePoint now);
 
   void on_outcome(const UpstreamGroup& group, const ControlOutcome& outcome, TimePoint now);
   void on_promotion(const MemberId& member, PromotionOutcome outcome, TimePoint now);
@@ -124,12 +142,18 @@
   void advance_survey(const UpstreamGroup& group, TimePoint now);
   void advance_step_down(const UpstreamGroup& group, TimePoint now);
   void advance_stop(const UpstreamGroup& group, TimePoint now);
-  void advance_promotion(FencingToken token, TimePoint now);
+  void advance_promotion(const UpstreamGroup& group, TimePoint now);
+  /// Returns true if an unanswered promotion of another member may still take effect and would undo that of the
+  /// candidate.
+  bool conflicts_with_unanswered(const UpstreamGroup& group, TimePoint now) const;
   void advance_verification(const UpstreamGroup& group, TimePoint now);
   void choose_candidate(const UpstreamGroup& group);
   /// Returns true if some replica reported that it received `position`.
   bool is_received(const UpstreamGroup& group, const LogPoint& position) const;
   bool holds_whole_log(const UpstreamGroup& group, const LogPoint& received) const;
+  /// Lets stopped replicas receive again if no promotion order can be outstanding. Otherwise they stay stopped until
+  /// the next replacement completes.
+  void resume_replicas(const UpstreamGroup& group, TimePoint now);
   void give_up(const UpstreamGroup& group, const std::string& cause, TimePoint now);
 
   GroupId m_group;
@@ -141,6 +165,7 @@
   TimePoint m_began_at;
   TimePoint m_state_entered_at;
   TimePoint m_earliest_begin;
+  std::optional<GroupLeader> m_leader;
   std::optional<MemberId> m_old_primary;
   Term m_term;
   /// Newest known term in which a member was the primary before the replacement.
@@ -152,11 +177,10 @@
   /// Log position of the old primary after it stepped down.
   std::optional<LogPoint> m_final_position;
   bool m_primary_answers = false;
-  bool m_members_current = false;
+  ReplacementInput m_input;
   std::optional<MemberId> m_candidate;
   bool m_promotion_sent = false;
   TimePoint m_next_promotion;
-  FencingToken m_token;
   FencingToken m_sent_token;
   /// The last promotion order that got no answer, with its token. It may still be carried out, even after a later order
   /// has taken effect.
--- a/servers/session_host/report_ring.cc
+++ b/servers/session_host/report_ring.cc
@@ -67,20 +67,20 @@
   }
 }
 
-bool ReportRing::reaches_minority(const std::function<bool(const HostId&)>& is_reachable) const {
+double ReportRing::reachable_share(const std::function<bool(const HostId&)>& is_reachable, bool active_only) const {
   struct DomainSample {
-    std::size_t active = 0;
+    std::size_t counted = 0;
     std::size_t expected = 0;
     std::size_t reachable = 0;
   };
   std::map<FailureDomainId, DomainSample> samples;
   for (const auto& [host, domain] : m_others) {
-    if (!m_active.contains(host)) {
+    if (active_only && !m_active.contains(host)) {
       continue;
     }
     DomainSample& sample = samples[domain];
-    ++sample.active;
-    if (expects_reports_from(host)) {
+    ++sample.counted;
+    if (holds_duty() || is_neighbour(host)) {
       ++sample.expected;
       sample.reachable += is_reachable(host) ? 1 : 0;
     }
@@ -91,10 +91,10 @@
     if (sample.expected == 0) {
       continue;
     }
-    fleet_size += static_cast<double>(sample.active);
-    reachable_size += static_cast<double>(sample.active * sample.reachable) / static_cast<double>(sample.expected);
+    fleet_size += static_cast<double>(sample.counted);
+    reachable_size += static_cast<double>(sample.counted * sample.reachable) / static_cast<double>(sample.expected);
   }
-  return 2 * reachable_size < fleet_size;
+  return reachable_size / fleet_size;
 }
 
 }  // namespace teaselrudder
--- a/servers/session_host/report_ring.h
+++ b/servers/session_host/report_ring.h
@@ -19,6 +19,7 @@
   /// Number of neighbours on each side. With ten neighbours in total, a host has neighbours in each of six failure
   /// domains.
   static constexpr std::size_t kNeighbours = 5;
+  static constexpr double kHalf = 0.5;
 
   ReportRing(HostId self, FailureDomainId domain) : m_self(std::move(self)), m_domain(std::move(domain)) {}
 
@@ -27,6 +28,7 @@
   /// reports, because it may be cut off and learns from the reports that the network works again. No reports are
   /// expected from it.
   void set_hosts(std::map<HostId, FailureDomainId> others, std::set<HostId> active);
+  const std::optional<HostId>& duty_holder() const { return m_holder; }
   void set_duty_holder(std::optional<HostId> holder) { m_holder = std::move(holder); }
 
   /// Returns true if this host and `other` send each other all reports.
@@ -41,13 +43,23 @@
   /// reports of an expected host arrive. The reachable part of each failure domain is estimated from its expected hosts
   /// and weighted with the number of all its hosts. A host whose neighbours happen to be mostly in its own failure
   /// domain thus still notices that the other domains are unreachable.
-  bool reaches_minority(const std::function<bool(const HostId&)>& is_reachable) const;
+  bool reaches_minority(const std::function<bool(const HostId&)>& is_reachable) const {
+    return reachable_share(is_reachable, true) < kHalf;
+  }
+
+  /// Returns the share of the fleet that this host reaches, including the hosts that are not active. A host that the
+  /// store turns away loses its record and may still serve on the other side of a partition, so the right to act for
+  /// the fleet depends on this share.
+  double reachable_share(const std::function<bool(const HostId&)>& is_reachable) const {
+    return reachable_share(is_reachable, false);
+  }
 
   /// Returns true if this host or `other` holds the failover duty, so that they exchange reports for it.
   bool exchanges_duty_reports(const HostId& other) const { return holds_duty() || m_holder == other; }
 
  private:
   bool holds_duty() const { return m_holder == m_self; }
+  double reachable_share(const std::function<bool(const HostId&)>& is_reachable, bool active_only) const;
 
   HostId m_self;
   FailureDomainId m_domain;
--- a/servers/session_host/session_host.cc
+++ b/servers/session_host/session_host.cc
@@ -17,20 +17,21 @@
   return {ports.links, ports.read_report, ports.counters, ports.log, settings.domain, settings.random_seed};
 }
 
-/// Returns the earliest time, on this host's clock, at which the reported position can have been requested from the
-/// primary. The position contains all commits that were acknowledged before it. Returns nothing if the report has no
-/// position or echoes no report of this host.
+/// Tolerance for a computed sending time in the future. The clocks of two hosts may differ in rate.
+constexpr Duration kMaxClockError = std::chrono::milliseconds(20);
+
+/// Returns the earliest time, on this host's clock, at which the report can have been sent. Returns nothing if it
+/// echoes no report of this host, or one with another clock, for example from before a restart of the machine.
 ///
 /// The hosts' clocks are not synchronized and a report may arrive late, so neither its sending time nor its arrival
 /// time can be used. The echo is the time on this host's clock when it sent the echoed report, and the other host sent
 /// its own report `echo_delay` after that one arrived. So it was sent at the sum of both or later.
-/// A sum that is later than `now` is treated as `now`.
-std::optional<TimePoint> position_time(const EvidenceReport& report, const PrimaryEvidence& evidence, TimePoint now) {
-  if (!evidence.position.has_value() || report.echo_us == 0) {
+std::optional<TimePoint> earliest_sending_time(const EvidenceReport& report, TimePoint now) {
+  const TimePoint sent_after = TimePoint(Duration(report.echo_us)) + report.echo_delay;
+  if (report.echo_us <= 0 || sent_after > now + kMaxClockError) {
     return std::nullopt;
   }
-  const TimePoint sent_after = TimePoint(Duration(report.echo_us)) + report.echo_delay;
-  return std::min(sent_after, now) - evidence.position_age;
+  return std::min(sent_after, now);
 }
 
 /// Returns the value of the duty's record: the holder and the incarnation of its process.
@@ -62,7 +63,7 @@
              timings(kDutyTimeToLive, kDutyRenewal, m_settings.min_time_to_live), ports.store, ports.counters,
              ports.log, m_settings.random_seed + 3),
       m_failover({ports.links, ports.read_report, ports.promotions, *this, [this] { m_duty.rewrite(); }, ports.counters,
-                  ports.log, m_settings.self},
+                  ports.log, m_settings.self, m_settings.promotion_tokens_are_checked},
                  std::move(replacement_chart)),
       m_ring(m_settings.self, m_settings.domain) {}
 
@@ -76,12 +77,13 @@
   m_view.on_tick(now);
   m_sessions.set_routing_current(m_view.is_current(now), now);
   m_record.on_tick(m_view.is_complete(), now);
-  m_duty.on_tick(is_ready() && now >= m_duty_suspended_until, now);
+  update_duty(now);
   m_failover.on_tick(m_sessions.executor().groups(), m_board, duty_token(now), m_fleet_size, m_view.is_current(now),
                      now);
   if (m_failover.take_token_rejected()) {
     m_duty.on_superseded(now);
   }
+  apply_own_leases(now);
   m_sessions.executor().set_in_minority(in_minority(now), now);
   m_isolated = m_sessions.executor().is_isolated(now);
   m_sessions.set_isolated(m_isolated, now);
@@ -89,21 +91,26 @@
   if (now >= m_next_report) {
     send_reports(now);
   }
+  request_leases(now);
   log_readiness_change();
 }
 
 TimePoint SessionHost::next_wakeup() const {
-  return std::min({m_view.next_wakeup(), m_record.next_wakeup(), m_duty.next_wakeup(), m_failover.next_wakeup(),
-                   m_sessions.next_wakeup(), m_next_report});
+  const TimePoint lease_request = m_sessions.executor().requests_lease() ? m_next_lease_request : TimePoint::max();
+  return std::min({lease_request, m_view.next_wakeup(), m_record.next_wakeup(), m_duty.next_wakeup(),
+                   m_failover.next_wakeup(), m_sessions.next_wakeup(), m_next_report});
 }
 
 std::optional<FencingToken> SessionHost::duty_token(TimePoint now) const {
   const std::optional<StoreRevision> revision = m_duty.held_revision();
   // A host in the minority is more likely to be cut off itself than the primaries that it cannot reach are to be lost.
-  if (!revision.has_value() || m_stopping || in_minority(now)) {
+  const double share = heard_share(now);
+  if (!revision.has_value() || m_stopping || share < ReportRing::kHalf) {
     return std::nullopt;
   }
-  if (!m_duty.is_renewed(now) && !store_is_unreachable_for_all(now)) {
+  // Without its lease the holder needs more than half, so that it shares a host with everyone who acts with a lease.
+  const bool may_act_without_store = share > ReportRing::kHalf && now < m_duty.renewed_at() + kMaxDutyWithoutStore;
+  if (!m_duty.is_renewed(now) && !(may_act_without_store && store_is_unreachable_for_all(now))) {
     return std::nullopt;
   }
   return FencingToken(static_cast<std::uint64_t>(revision->value()));
@@ -113,6 +120,21 @@
   return m_ring.reaches_minority([this, now](const HostId& host) { return m_board.has_fresh_report(host, now); });
 }
 
+double SessionHost::heard_share(TimePoint now) const {
+  return m_ring.reachable_share([this, now](const HostId& host) { return m_board.has_fresh_report(host, now); });
+}
+
+void SessionHost::update_duty(TimePoint now) {
+  const bool has_quorum = heard_share(now) >= ReportRing::kHalf;
+  if (has_quorum) {
+    m_had_quorum_at = now;
+  } else if (m_duty.held_revision().has_value() && now >= m_had_quorum_at + kMaxDutyWithoutQuorum) {
+    m_log.log_state_change("duty_released", {{"cause", "less than half of the fleet is heard"}});
+    m_duty.release();
+  }
+  m_duty.on_tick(is_ready() && has_quorum && now >= m_duty_suspended_until, now);
+}
+
 bool SessionHost::store_is_unreachable_for_all(TimePoint now) const {
   // After a pause of this process the last reports of the other hosts are outdated.
   if (m_view.is_current(now) || now < m_duty_suspended_until) {
@@ -209,44 +231,126 @@
   m_sessions.executor().on_reported_position(group, position, at);
 }
 
-void SessionHost::on_primary_found(const GroupId& group, const MemberId& member, Term term, TimePoint now) {
-  const auto& groups = m_sessions.executor().groups();
-  const auto known = groups.find(group);
-  if (known != groups.end() && known->second.primary() != member) {
-    m_announcements_left = kPrimaryAnnouncements;
-    m_next_report = now;
-  }
-  m_sessions.executor().update_primary(group, member, term, now);
+void SessionHost::on_leader_announced(const GroupId& group, const GroupLeader& leader, TimePoint now) {
+  m_announcements_left = kPrimaryAnnouncements;
+  m_next_report = now;
+  m_sessions.executor().update_primary(group, leader.member, leader.term, now);
 }
 
 void SessionHost::on_evidence(const EvidenceReport& report, TimePoint now) {
+  if (!m_others.contains(report.sender)) {
+    m_counters.count("reports_of_unknown_hosts");
+    return;
+  }
   m_board.on_report(report, now);
+  note_duty_token(std::max(report.duty_token, report.newest_duty_token), now);
+  const std::optional<TimePoint> sent_after = earliest_sending_time(report, now);
+  for (const PrimaryEvidence& evidence : report.groups) {
+    m_sessions.executor().update_primary(evidence.group, evidence.primary, evidence.term, now);
+    apply_lease(report, evidence, now);
+    if (evidence.position.has_value() && sent_after.has_value()) {
+      m_sessions.executor().on_evidence(evidence.group, *evidence.position, *sent_after - evidence.position_age);
+    }
+  }
+  answer_lease_requests(report, now);
+}
+
+void SessionHost::note_duty_token(std::uint64_t token, TimePoint now) {
+  m_newest_duty_token = std::max(m_newest_duty_token, token);
   const std::optional<StoreRevision> held = m_duty.held_revision();
-  if (held.has_value() && report.duty_token > static_cast<std::uint64_t>(held->value())) {
+  if (held.has_value() && token > static_cast<std::uint64_t>(held->value())) {
     m_duty.on_superseded(now);
   }
-  for (const PrimaryEvidence& evidence : report.groups) {
-    m_sessions.executor().update_primary(evidence.group, evidence.primary, evidence.term, now);
-    if (const auto held_at = position_time(report, evidence, now); held_at.has_value()) {
-      m_sessions.executor().on_evidence(evidence.group, *evidence.position, *held_at);
+}
+
+void SessionHost::apply_own_leases(TimePoint now) {
+  const std::optional<FencingToken> token = duty_token(now);
+  if (!token.has_value()) {
+    return;
+  }
+  m_newest_duty_token = std::max(m_newest_duty_token, token->value());
+  for (const auto& [id, group] : m_sessions.executor().groups()) {
+    if (const auto until = m_failover.granted_until(id); until.has_value() && group.primary().has_value()) {
+      m_sessions.executor().on_lease(id, {{*group.primary(), group.term()}, *until, token->value()}, now);
     }
   }
 }
 
-void SessionHost::send_reports(TimePoint now) {
-  m_next_report = now + kReportInterval;
-  update_hosts(now);
-  if (m_others.empty()) {
+void SessionHost::apply_lease(const EvidenceReport& report, const PrimaryEvidence& evidence, TimePoint now) {
+  if (evidence.lease_remaining == Duration(0)) {
+    return;
+  }
+  if (evidence.lease_token < m_newest_duty_token) {
+    m_counters.count("leases_of_former_duty_holders");
     return;
   }
+  const std::optional<TimePoint> sent_after = earliest_sending_time(report, now);
+  if (!sent_after.has_value() || evidence.lease_remaining > PrimaryLeaseGrants::kTimeToLive) {
+    m_counters.count("leases_without_valid_time");
+    return;
+  }
+  m_sessions.executor().on_lease(
+      evidence.group, {{evidence.primary, evidence.term}, *sent_after + evidence.lease_remaining, evidence.lease_token},
+      now);
+}
+
+void SessionHost::request_leases(TimePoint now) {
+  if (!m_sessions.executor().requests_lease() || now < m_next_lease_request) {
+    return;
+  }
+  m_sessions.executor().clear_lease_request();
+  m_next_lease_request = now + kLeaseRequestInterval;
+  const auto holder = m_ring.duty_holder().has_value() ? m_others.find(*m_ring.duty_holder()) : m_others.end();
+  if (holder == m_others.end()) {
+    return;
+  }
+  EvidenceReport report = make_report(now);
+  for (const auto& [id, group] : m_sessions.executor().groups()) {
+    if (group.requests_lease(now)) {
+      report.groups.push_back(group.report(now));
+    }
+  }
+  m_counters.count("lease_requests");
+  send_report(holder->first, holder->second.endpoint, report, now);
+}
+
+void SessionHost::answer_lease_requests(const EvidenceReport& report, TimePoint now) {
+  if (!duty_token(now).has_value()) {
+    return;
+  }
+  EvidenceReport answer = make_report(now);
+  for (const PrimaryEvidence& evidence : report.groups) {
+    const auto group = m_sessions.executor().groups().find(evidence.group);
+    if (evidence.requests_lease && group != m_sessions.executor().groups().end() && group->second.is_leased_at(now)) {
+      answer.groups.push_back(group->second.report(now));
+    }
+  }
+  if (!answer.groups.empty()) {
+    send_report(report.sender, m_others.at(report.sender).endpoint, answer, now);
+  }
+}
+
+EvidenceReport SessionHost::make_report(TimePoint now) const {
   EvidenceReport report;
   report.sender = m_settings.self;
   report.sent_at_us = now.time_since_epoch().count();
   const std::optional<FencingToken> token = duty_token(now);
   report.duty_token = token.has_value() ? token->value() : 0;
+  report.newest_duty_token = m_newest_duty_token;
   report.store_current = m_view.is_current(now);
+  return report;
+}
+
+void SessionHost::send_reports(TimePoint now) {
+  m_next_report = now + kReportInterval;
+  update_hosts(now);
+  if (m_others.empty()) {
+    return;
+  }
+  EvidenceReport report = make_report(now);
+  const bool grants_leases = report.duty_token != 0;
   for (const auto& [id, group] : m_sessions.executor().groups()) {
-    if (group.needs_report(now)) {
+    if (group.needs_report(now) || (grants_leases && m_board.has_fresh_evidence(id, now))) {
       report.groups.push_back(group.report(now));
     }
   }
--- a/servers/session_host/session_host.h
+++ b/servers/session_host/session_host.h
@@ -30,6 +30,8 @@
   /// Minimum time to live that the store grants for a lease.
   Duration min_time_to_live = std::chrono::seconds(1);
   std::uint64_t random_seed = 0;
+  /// True if the platform rejects a promotion whose fencing token is lower than one used before.
+  bool promotion_tokens_are_checked = true;
 };
 
 /// Ports of a session host to the outside; all references must outlive it.
@@ -54,6 +56,12 @@
   static constexpr Duration kRecordTimeToLive = std::chrono::seconds(6);
   static constexpr Duration kDutyTimeToLive = std::chrono::milliseconds(1600);
   static constexpr Duration kDutyRenewal = std::chrono::milliseconds(500);
+  /// Time after the last renewal of its lease for which the holder of the duty acts while the store is unreachable for
+  /// every host that it hears. Shorter than kUnlistedHostRetention: as long as another host counts this one to the
+  /// fleet, it cannot act without hearing a host that hears this one.
+  static constexpr Duration kMaxDutyWithoutStore = std::chrono::seconds(20);
+  /// Time without a quorum after which the holder gives the duty to others that may have one.
+  static constexpr Duration kMaxDutyWithoutQuorum = std::chrono::seconds(2);
   /// Interval of the reports to each other host.
   static constexpr Duration kReportInterval = std::chrono::milliseconds(250);
   /// Maximum number of groups in one report; further groups are sent in additional reports. A report of this size fits
@@ -61,6 +69,8 @@
   static constexpr std::size_t kGroupsPerReport = 32;
   /// Interval of the reports that are sent only for the failover duty.
   static constexpr Duration kDutyReportInterval = std::chrono::milliseconds(500);
+  /// Minimum time between two reports that request a lease on reading at a primary.
+  static constexpr Duration kLeaseRequestInterval = std::chrono::milliseconds(250);
   /// Number of consecutive reports that the holder of the failover duty sends to all hosts after it found a new
   /// primary. There are several because reports may be lost.
   static constexpr int kPrimaryAnnouncements = 3;
@@ -106,14 +116,29 @@
   void on_member_missing(const MemberId& member, bool store_was_unreachable, TimePoint now) override;
   void on_record(const RecordChanged& record, TimePoint now) override;
   void on_primary_position(const GroupId& group, const LogPoint& position, TimePoint at) override;
-  void on_primary_found(const GroupId& group, const MemberId& member, Term term, TimePoint now) override;
+  void on_leader_announced(const GroupId& group, const GroupLeader& leader, TimePoint now) override;
 
   std::optional<FencingToken> duty_token(TimePoint now) const;
   /// Returns true if this host receives reports from less than half of the fleet, counting itself.
   bool in_minority(TimePoint now) const;
+  /// Returns the share of the fleet that this host hears, hosts without a record included.
+  double heard_share(TimePoint now) const;
+  /// Lets the duty be acquired only with a quorum and releases it if there has been none for a while.
+  void update_duty(TimePoint now);
   /// Returns true if the store is unreachable for this host and for all hosts whose reports arrive. Nobody else can
   /// then take over the duty, so a lease that could not be renewed remains valid.
   bool store_is_unreachable_for_all(TimePoint now) const;
+  /// Gives this host the leases that it grants as the holder of the failover duty.
+  void apply_own_leases(TimePoint now);
+  /// Applies a lease in the report of another host. Leases of a former holder of the duty are ignored.
+  void apply_lease(const EvidenceReport& report, const PrimaryEvidence& evidence, TimePoint now);
+  /// Asks the holder of the failover duty for leases for which statements wait.
+  void request_leases(TimePoint now);
+  /// Answers a report that requests leases, if this host grants them.
+  void answer_lease_requests(const EvidenceReport& report, TimePoint now);
+  void note_duty_token(std::uint64_t token, TimePoint now);
+  /// Returns a report without groups.
+  EvidenceReport make_report(TimePoint now) const;
   void send_reports(TimePoint now);
   void send_report(const HostId& host, const Endpoint& endpoint, const EvidenceReport& report, TimePoint now);
   /// Removes hosts whose record disappeared long ago and updates the size of the fleet.
@@ -137,8 +162,12 @@
   /// Number of hosts that have a record in the store or sent a report recently, including this one.
   std::size_t m_fleet_size = 1;
   TimePoint m_next_report;
+  TimePoint m_next_lease_request;
+  /// Highest fencing token that a holder of the failover duty is known to have used.
+  std::uint64_t m_newest_duty_token = 0;
   TimePoint m_last_tick;
   TimePoint m_duty_suspended_until;
+  TimePoint m_had_quorum_at;
   bool m_stopping = false;
   bool m_was_ready = false;
   /// This host is isolated: it receives reports from only a minority of the hosts and cannot reach some primary. Other
--- a/servers/sessions/read_candidates.cc
+++ b/servers/sessions/read_candidates.cc
@@ -39,15 +39,27 @@
   if (route.freshness == ReadFreshness::kPrimary) {
     return std::nullopt;
   }
-  const std::optional<LogPoint> bound = group.evidence().position_for(began - route.max_staleness);
+  const std::optional<LogPoint> bound = group.evidence().position_for(oldest_allowed(route, began));
   if (!bound.has_value() || route.freshness == ReadFreshness::kBounded || !own_commit.has_value()) {
     return bound;
   }
   return std::max(*bound, *own_commit);
 }
 
+TimePoint oldest_allowed(const Route& route, TimePoint began) {
+  return route.freshness == ReadFreshness::kPrimary ? began : began - route.max_staleness;
+}
+
+std::optional<LogPoint> guard_position(const UpstreamGroup& group, const std::optional<LogPoint>& required) {
+  const std::optional<PositionSample> newest = group.evidence().newest();
+  if (newest.has_value() && newest->position.term == group.term()) {
+    return newest->position;
+  }
+  return required.has_value() && required->term == group.term() ? required : std::nullopt;
+}
+
 std::optional<MemberId> usable_primary(const UpstreamGroup& group, TimePoint now) {
-  if (!group.primary().has_value()) {
+  if (!group.primary().has_value() || group.term() == Term(0)) {
     return std::nullopt;
   }
   const UpstreamMember* const primary = group.find(*group.primary());
@@ -63,7 +75,10 @@
 std::vector<MemberId> rank_read_candidates(const UpstreamGroup& group, const ReadNeeds& needs,
                                            const std::function<std::size_t(const UpstreamMember&)>& active,
                                            TimePoint now) {
-  const std::optional<MemberId> primary = usable_primary(group, now);
+  // A log position of the primary's own term holds there as well as on a replica.
+  const bool primary_has_position = needs.required.has_value() && needs.required->term == group.term();
+  const std::optional<MemberId> primary =
+      needs.primary_is_current || primary_has_position ? usable_primary(group, now) : std::nullopt;
   std::vector<std::pair<Duration, MemberId>> ranked;
   for (const auto& [id, member] : group.members()) {
     const bool is_primary = primary == id;
--- a/servers/sessions/read_candidates.h
+++ b/servers/sessions/read_candidates.h
@@ -19,6 +19,8 @@
 struct ReadNeeds {
   /// Log position that a replica must have applied; nothing if only the primary may run the read.
   std::optional<LogPoint> required;
+  /// The log of the primary is known to be recent enough for the read.
+  bool primary_is_current = false;
   /// Members that failed earlier attempts of this read. They are ranked lower, not excluded.
   const std::set<MemberId>& avoided;
   /// Failure domain of this host. Its members have a lower network latency.
@@ -31,7 +33,17 @@
 std::optional<LogPoint> required_position(const UpstreamGroup& group, const Route& route,
                                           const std::optional<LogPoint>& own_commit, TimePoint began);
 
-/// Returns the primary, or nothing if it is unknown or has been leaving for longer than kMaxUseOfLeavingPrimary.
+/// Returns the oldest time as of which a read that began at `began` on `route` may see the data: it must see every
+/// commit acknowledged before.
+TimePoint oldest_allowed(const Route& route, TimePoint began);
+
+/// Returns the log position that the primary must have reached when a statement arrives there. It only guards against a
+/// member that lost its log and started again: the primary reached this position before. Returns nothing if no position
+/// of its term is known. `required` is the position that a replica would need.
+std::optional<LogPoint> guard_position(const UpstreamGroup& group, const std::optional<LogPoint>& required);
+
+/// Returns the primary, or nothing if it is unknown, not yet announced, or has been leaving for longer than
+/// kMaxUseOfLeavingPrimary.
 std::optional<MemberId> usable_primary(const UpstreamGroup& group, TimePoint now);
 
 /// Returns the members that may run the read, ordered by ascending expected cost. `active` returns the number of this
--- a/servers/sessions/session.h
+++ b/servers/sessions/session.h
@@ -34,9 +34,6 @@
   bool writes = false;
   /// Only the primary may run the statement.
   bool needs_primary = false;
-  /// The read is a single statement outside a transaction of the caller. The host runs it in a transaction of its own,
-  /// because a replaced primary refuses such a transaction.
-  bool in_own_transaction = false;
   TimePoint arrived_at;
   TimePoint deadline;
   TimePoint phase_since;
--- a/servers/sessions/statement_executor.cc
+++ b/servers/sessions/statement_executor.cc
@@ -78,9 +78,7 @@
     }
   }
   m_group_of_member[entry.member] = entry.group;
-  if (group.on_member_seen(entry, now)) {
-    query_primary(group, now);
-  }
+  group.on_member_seen(entry, now);
   dispatch(group, now);
 }
 
@@ -98,17 +96,43 @@
 
 void StatementExecutor::update_primary(const GroupId& group_id, const MemberId& member, Term term, TimePoint now) {
   UpstreamGroup* const group = find_group(group_id);
-  if (group == nullptr || term == Term(0) || group->find(member) == nullptr ||
-      !group->update_primary(member, term, now)) {
+  if (group == nullptr || term == Term(0) || group->find(member) == nullptr) {
+    return;
+  }
+  const std::optional<MemberId> former = group->primary();
+  if (!group->update_primary(member, term, now)) {
     return;
   }
-  m_services.log.log_state_change("primary_learned", {{"group", group_id.value()},
-                                                      {"member", member.value()},
-                                                      {"term", std::to_string(term.value())},
-                                                      {"from", "host"}});
+  m_services.log.log_state_change(
+      "primary_learned",
+      {{"group", group_id.value()}, {"member", member.value()}, {"term", std::to_string(term.value())}});
+  if (former.has_value() && former != member) {
+    step_down(*group, *former, now);
+  }
   dispatch(*group, now);
 }
 
+void StatementExecutor::step_down(UpstreamGroup& group, const MemberId& former, TimePoint now) {
+  const UpstreamMember* const known = group.find(former);
+  MemberConnection* const connection = known == nullptr ? nullptr : m_connections.pick_idle(*known, {});
+  if (connection != nullptr) {
+    m_connections.send(group, *connection, {make_internal_command(MemberCommandKind::kStepDown, group.term())},
+                       {ReplyPurpose::kStepDown}, now);
+  }
+}
+
+void StatementExecutor::on_lease(const GroupId& group_id, const PrimaryLease& lease, TimePoint now) {
+  UpstreamGroup* const group = find_group(group_id);
+  if (group == nullptr) {
+    return;
+  }
+  const bool was_requested = group->requests_lease(now);
+  group->on_lease(lease);
+  if (was_requested) {
+    dispatch(*group, now);
+  }
+}
+
 void StatementExecutor::on_reported_position(const GroupId& group_id, const LogPoint& position, TimePoint at) {
   if (UpstreamGroup* const group = find_group(group_id); group != nullptr) {
     group->on_reported_position(position, at);
@@ -273,13 +297,35 @@
   return required_position(group, *session.route, own_commit, began);
 }
 
-std::vector<MemberId> StatementExecutor::candidates(const Session& session, const UpstreamGroup& group, TimePoint now) {
+std::optional<LogPoint> StatementExecutor::required_position_at(const Session& session, const UpstreamGroup& group,
+                                                                const MemberId& member) const {
+  const std::optional<LogPoint> required = required_position_of(session, group);
+  return group.primary() == member ? guard_position(group, required) : required;
+}
+
+bool StatementExecutor::may_use_primary(const Session& session, const UpstreamGroup& group) const {
+  const bool in_transaction = session.state == TransactionState::kOpen;
+  if (session.execution->writes && !in_transaction && group.configuration().synchronous) {
+    return true;
+  }
+  const TimePoint began = in_transaction ? session.transaction_began : session.execution->arrived_at;
+  return group.primary_holds_commits_before(oldest_allowed(*session.route, began));
+}
+
+std::vector<MemberId> StatementExecutor::candidates(const Session& session, UpstreamGroup& group, TimePoint now) {
   const Execution& execution = *session.execution;
+  const std::optional<LogPoint> required =
+      execution.needs_primary ? std::nullopt : required_position_of(session, group);
+  const bool primary_is_current = may_use_primary(session, group);
+  if (!primary_is_current && !required.has_value()) {
+    group.request_lease(now);
+    m_requests_lease = true;
+  }
   if (execution.needs_primary) {
-    const std::optional<MemberId> primary = usable_primary(group, now);
+    const std::optional<MemberId> primary = primary_is_current ? usable_primary(group, now) : std::nullopt;
     return primary.has_value() ? std::vector<MemberId>{*primary} : std::vector<MemberId>{};
   }
-  const ReadNeeds needs{required_position_of(session, group), execution.avoided, m_services.own_domain};
+  const ReadNeeds needs{required, primary_is_current, execution.avoided, m_services.own_domain};
   return rank_read_candidates(
       group, needs, [this](const UpstreamMember& member) { return active_connections(member); }, now);
 }
@@ -337,14 +383,12 @@
 
 void StatementExecutor::assign(Session& session, UpstreamGroup& group, MemberConnection& connection, TimePoint now) {
   Execution& execution = *session.execution;
-  const bool on_primary = group.primary() == connection.member;
   const bool in_transaction = session.state == TransactionState::kOpen;
   connection.session = session.id;
   execution.connection = connection.id;
   execution.phase_since = now;
-  execution.in_own_transaction = !in_transaction && !execution.writes && on_primary;
   m_wait_latency.record(now - execution.arrived_at);
-  if (!in_transaction && !execution.in_own_transaction) {
+  if (!in_transaction) {
     if (execution.writes && connection.last_reply_at + kCheckAfter < now) {
       execution.phase = ExecutionPhase::kChecking;
       connection.session_state = {};
@@ -356,24 +400,16 @@
     send_statement(session, group, connection, now);
     return;
   }
-  // On the primary a read-write transaction is used even for reads, because a member refuses only this kind after it
-  // has been replaced.
-  const bool read_write_transaction = on_primary;
-  MemberCommand begin =
-      make_internal_command(read_write_transaction ? MemberCommandKind::kBegin : MemberCommandKind::kBeginReadOnly);
-  if (!read_write_transaction) {
-    begin.required = required_position_of(session, group);
-  }
+  MemberCommand begin = make_internal_command(session.transaction_read_only ? MemberCommandKind::kBeginReadOnly
+                                                                            : MemberCommandKind::kBegin);
+  begin.required = required_position_at(session, group, connection.member);
   std::vector<MemberCommand> commands = plan_setup(connection.session_state, session.values, needed_statement(session));
   std::vector<ReplyPurpose> purposes(commands.size(), ReplyPurpose::kSetup);
   commands.push_back(begin);
   purposes.push_back(ReplyPurpose::kBegin);
   connection.in_transaction = true;
-  connection.proves_leadership = read_write_transaction;
-  if (in_transaction) {
-    connection.pinned = true;
-    session.pinned = connection.id;
-  }
+  connection.pinned = true;
+  session.pinned = connection.id;
   execution.phase = ExecutionPhase::kBeginning;
   m_connections.send(group, connection, commands, purposes, now);
   schedule_timer(session);
@@ -423,11 +459,7 @@
   purposes.push_back(ReplyPurpose::kStatement);
   const bool single_read = !connection.in_transaction && !execution.writes;
   if (single_read) {
-    commands.back().required = required_position_of(session, group);
-  }
-  if (execution.in_own_transaction) {
-    commands.push_back(make_internal_command(MemberCommandKind::kRollback));
-    purposes.push_back(ReplyPurpose::kRollback);
+    commands.back().required = required_position_at(session, group, connection.member);
   }
   if (execution.writes && (!connection.in_transaction || execution.statement.kind == StatementKind::kCommit)) {
     group.on_commit_sent(now);
@@ -479,8 +511,7 @@
         execution.connection.has_value() ? m_connections.find(*execution.connection) : nullptr;
     if (connection != nullptr) {
       const bool commits = execution.statement.kind == StatementKind::kCommit;
-      const bool may_complete = execution.phase == ExecutionPhase::kRunning &&
-                                (!connection->in_transaction || execution.in_own_transaction || commits);
+      const bool may_complete = execution.phase == ExecutionPhase::kRunning && (!connection->in_transaction || commits);
       if (may_complete) {
         release(*connection);
         session.pinned.reset();
--- a/servers/sessions/statement_executor.h
+++ b/servers/sessions/statement_executor.h
@@ -59,10 +59,8 @@
   static constexpr std::uint32_t kMaxReadAttempts = 3;
   /// Time for which a member that failed a request is used only if no other one is available.
   static constexpr Duration kAvoidTime = std::chrono::milliseconds(600);
-  /// Minimum time between two rounds of status queries that ask the members of a group which one is the primary.
-  static constexpr Duration kPrimaryQueryInterval = std::chrono::milliseconds(150);
-  /// Time for which a statement waits before the members are queried for the primary.
-  static constexpr Duration kPrimaryQueryWait = std::chrono::milliseconds(200);
+  /// Time for which a statement waits before this host doubts that it knows the primary.
+  static constexpr Duration kDoubtPrimaryAfter = std::chrono::milliseconds(200);
   /// Time without an answer or an acknowledged commit after which a host in the minority treats a primary as
   /// unreachable.
   static constexpr Duration kUnreachableTimeout = std::chrono::milliseconds(400);
@@ -75,8 +73,14 @@
   void configure(const std::map<GroupId, ReplicatedGroup>& groups, TimePoint now);
   void on_member_seen(const MemberEntry& entry, TimePoint now);
   void on_member_missing(const MemberId& member, bool store_was_unreachable, TimePoint now);
-  /// Notes the primary as told by another host or found by the failover duty.
+  /// Notes the primary that the holder of the failover duty has announced. The former primary is told to step down if
+  /// this host has an unused connection to it.
   void update_primary(const GroupId& group, const MemberId& member, Term term, TimePoint now);
+  /// Notes a lease on reading at the primary and sends statements that waited for it.
+  void on_lease(const GroupId& group, const PrimaryLease& lease, TimePoint now);
+  /// Returns true if statements have begun to wait for a lease since the last call of clear_lease_request().
+  bool requests_lease() const { return m_requests_lease; }
+  void clear_lease_request() { m_requests_lease = false; }
   /// Notes a log position that a member reported as primary in a status report at `at`.
   void on_reported_position(const GroupId& group, const LogPoint& position, TimePoint at);
   /// Notes a log position from another host's report: the group's primary returned `position` to a request that was
@@ -135,11 +139,17 @@
   /// Assigns waiting statements to connections. If `late` is true, only those that are unlikely to meet their latency
   /// objective, otherwise only the others.
   void dispatch_waiting(UpstreamGroup& group, std::set<WaitingKey>& waiting, bool late, TimePoint now);
+  /// Returns true if a statement may run at the primary: a commit there is fenced by the replicas, anything else needs
+  /// proof that no newer primary acknowledged a commit that the statement has to see.
+  bool may_use_primary(const Session& session, const UpstreamGroup& group) const;
   bool refuse_if_unreachable(Session& session, const UpstreamGroup& group, TimePoint now);
   bool try_assign(Session& session, UpstreamGroup& group, TimePoint now);
-  std::vector<MemberId> candidates(const Session& session, const UpstreamGroup& group, TimePoint now);
+  std::vector<MemberId> candidates(const Session& session, UpstreamGroup& group, TimePoint now);
   std::size_t active_connections(const UpstreamMember& member);
   std::optional<LogPoint> required_position_of(const Session& session, const UpstreamGroup& group) const;
+  /// Returns the position that the member must have reached to run the session's read or begin its transaction.
+  std::optional<LogPoint> required_position_at(const Session& session, const UpstreamGroup& group,
+                                               const MemberId& member) const;
   void assign(Session& session, UpstreamGroup& group, MemberConnection& connection, TimePoint now);
   void send_statement(Session& session, UpstreamGroup& group, MemberConnection& connection, TimePoint now);
   MemberCommand command_for(const Session& session) const;
@@ -159,8 +169,10 @@
   /// Handles a reply for which no execution waits.
   void on_orphan_reply(UpstreamGroup& group, MemberConnection& connection, const ExpectedReply& expected,
                        const StatementReply& reply, TimePoint now);
-  void on_status_reply(UpstreamGroup& group, const MemberConnection& connection, const StatementReply& reply,
-                       TimePoint now);
+  /// Adds the position in a success as evidence, if the member was the primary when the request was sent: a lease was
+  /// valid then, or the member acknowledged a commit, which it can only while its replicas follow it.
+  void note_primary_position(UpstreamGroup& group, const MemberConnection& connection, const StatementReply& reply,
+                             bool acknowledges_commit, TimePoint sent_at);
   void note_position(UpstreamGroup& group, const MemberConnection& connection, const StatementReply& reply,
                      TimePoint now);
 
@@ -183,7 +195,7 @@
   Duration hedge_delay(const Session& session) const;
   void run_maintenance(TimePoint now);
   void reconnect_stale(TimePoint unanswered_since, TimePoint now);
-  void query_primary(UpstreamGroup& group, TimePoint now);
+  void step_down(UpstreamGroup& group, const MemberId& former, TimePoint now);
 
   ExecutorServices m_services;
   SessionTable& m_sessions;
@@ -192,7 +204,7 @@
   std::map<GroupId, UpstreamGroup> m_groups;
   std::map<MemberId, GroupId> m_group_of_member;
   std::map<GroupId, std::set<WaitingKey>> m_waiting;
-  std::map<GroupId, TimePoint> m_primary_queried_at;
+  bool m_requests_lease = false;
   TimerQueue<SessionId> m_timers;
   TimePoint m_next_maintenance;
   /// Time at which this host became part of a minority; nothing if it is in the majority.
--- a/servers/sessions/statement_replies.cc
+++ b/servers/sessions/statement_replies.cc
@@ -72,7 +72,7 @@
   note_position(group, *connection, reply, now);
   Session* const session = session_of(*connection);
   const bool answers_own_command =
-      expected->purpose == ReplyPurpose::kRollback || expected->purpose == ReplyPurpose::kStatus;
+      expected->purpose == ReplyPurpose::kRollback || expected->purpose == ReplyPurpose::kStepDown;
   if (session == nullptr || !session->execution.has_value() || answers_own_command) {
     on_orphan_reply(group, *connection, *expected, reply, now);
     dispatch(group, now);
@@ -101,9 +101,6 @@
 void StatementExecutor::on_orphan_reply(UpstreamGroup& group, MemberConnection& connection,
                                         const ExpectedReply& expected, const StatementReply& reply, TimePoint now) {
   switch (expected.purpose) {
-    case ReplyPurpose::kStatus:
-      on_status_reply(group, connection, reply, now);
-      return;
     case ReplyPurpose::kRollback:
       connection.in_transaction = false;
       return;
@@ -124,18 +121,13 @@
   }
 }
 
-void StatementExecutor::on_status_reply(UpstreamGroup& group, const MemberConnection& connection,
-                                        const StatementReply& reply, TimePoint now) {
-  const std::optional<MemberReport> report = m_services.read_report(reply);
-  if (!report.has_value() || !report->is_primary) {
-    return;
-  }
-  if (group.update_primary(connection.member, report->term, now)) {
-    m_services.log.log_state_change("primary_learned", {{"group", group.id().value()},
-                                                        {"member", connection.member.value()},
-                                                        {"term", std::to_string(report->term.value())},
-                                                        {"from", "member"}});
-    dispatch(group, now);
+void StatementExecutor::note_primary_position(UpstreamGroup& group, const MemberConnection& connection,
+                                              const StatementReply& reply, bool acknowledges_commit,
+                                              TimePoint sent_at) {
+  const bool is_leased = group.primary() == connection.member && group.is_leased_at(sent_at);
+  const bool is_fenced = acknowledges_commit && group.configuration().synchronous;
+  if (reply.position.has_value() && (is_leased || is_fenced)) {
+    group.on_primary_position(*reply.position, sent_at);
   }
 }
 
@@ -154,23 +146,21 @@
     }
   }
   if (reply.position.has_value() && group.term() != Term(0) && reply.position->term > group.term()) {
-    query_primary(group, now);
+    group.doubt_primary(now);
   }
 }
 
 void StatementExecutor::on_begin_reply(Session& session, UpstreamGroup& group, MemberConnection& connection,
                                        const StatementReply& reply, TimePoint sent_at, TimePoint now) {
   if (!reply.error.has_value()) {
-    if (connection.proves_leadership && reply.position.has_value()) {
-      group.on_primary_position(*reply.position, sent_at);
-    }
+    note_primary_position(group, connection, reply, false, sent_at);
     send_statement(session, group, connection, now);
     return;
   }
   const MemberId member = connection.member;
   leave_transaction(session, group, connection, reply.state, now);
   if (*reply.error == StatementErrorCode::kReadOnly) {
-    query_primary(group, now);
+    group.doubt_primary(now);
   }
   retry(session, group, member, *reply.error, retry_delay(*reply.error, session.execution->attempts), now);
 }
@@ -204,12 +194,9 @@
   const Execution& execution = *session.execution;
   const bool commits = execution.statement.kind == StatementKind::kCommit;
   const bool single_write = execution.writes && !connection.in_transaction;
-  if ((connection.proves_leadership && connection.in_transaction) || single_write) {
-    if (reply.position.has_value()) {
-      group.on_primary_position(*reply.position, sent_at);
-    }
-  }
-  if (single_write || (commits && execution.writes)) {
+  const bool acknowledges_commit = single_write || (commits && execution.writes);
+  note_primary_position(group, connection, reply, acknowledges_commit, sent_at);
+  if (acknowledges_commit) {
     group.on_commit_acknowledged(now);
     m_write_latency.record(now - sent_at);
     if (reply.position.has_value()) {
@@ -236,6 +223,11 @@
   if (!session.pinned.has_value()) {
     release(connection);
   }
+  if (acknowledges_commit && !group.configuration().synchronous && !group.is_leased_at(now)) {
+    // No replica had to receive the commit, so a primary that was replaced meanwhile acknowledges it as well.
+    refuse(session, StatementErrorCode::kInDoubt, "lease on the primary ended before the commit was acknowledged", now);
+    return;
+  }
   finish(session, std::move(reply), now);
 }
 
@@ -249,7 +241,7 @@
     connection.session_state.prepared.clear();
   }
   if (code == StatementErrorCode::kReadOnly) {
-    query_primary(group, now);
+    group.doubt_primary(now);
   }
   if (is_not_run(code)) {
     retry(session, group, member, code, retry_delay(code, execution.attempts), now);
@@ -270,7 +262,7 @@
   const StatementErrorCode code = *reply.error;
   const bool commits = execution.statement.kind == StatementKind::kCommit;
   if (code == StatementErrorCode::kReadOnly) {
-    query_primary(group, now);
+    group.doubt_primary(now);
   }
   if (code == StatementErrorCode::kNotPrepared) {
     connection.session_state.prepared.clear();
--- a/servers/sessions/statement_timers.cc
+++ b/servers/sessions/statement_timers.cc
@@ -125,24 +125,6 @@
          "member did not answer in time", now);
 }
 
-void StatementExecutor::query_primary(UpstreamGroup& group, TimePoint now) {
-  TimePoint& queried_at = m_primary_queried_at[group.id()];
-  if (now < queried_at + kPrimaryQueryInterval) {
-    return;
-  }
-  queried_at = now;
-  m_services.counters.count("primary_questions");
-  for (auto& [id, member] : group.members()) {
-    MemberConnection* const connection = m_connections.pick_idle(member, {});
-    if (connection != nullptr) {
-      m_connections.send(group, *connection, {make_internal_command(MemberCommandKind::kReportStatus)},
-                         {ReplyPurpose::kStatus}, now);
-    } else if (member.connections.empty() && m_connections.may_open(group, member, now)) {
-      m_connections.open(group, member, now);
-    }
-  }
-}
-
 void StatementExecutor::set_in_minority(bool in_minority, TimePoint now) {
   if (in_minority == m_in_minority_since.has_value()) {
     return;
@@ -224,10 +206,10 @@
       continue;
     }
     const bool long_wait = std::any_of(waiting->second.begin(), waiting->second.end(), [now](const WaitingKey& key) {
-      return std::get<TimePoint>(key) + kPrimaryQueryWait <= now;
+      return std::get<TimePoint>(key) + kDoubtPrimaryAfter <= now;
     });
     if (long_wait) {
-      query_primary(group, now);
+      group.doubt_primary(now);
     }
     dispatch(group, now);
   }
--- a/servers/sessions/upstream_connections.h
+++ b/servers/sessions/upstream_connections.h
@@ -21,7 +21,7 @@
   kBegin,      // Opens a transaction.
   kStatement,  // The caller's statement.
   kRollback,   // Rolls back a transaction.
-  kStatus,     // Asks the member whether it is the primary.
+  kStepDown,   // Tells a former primary to step down.
 };
 
 /// A reply that has not arrived yet.
@@ -41,8 +41,6 @@
   /// The session that uses the connection for a statement or an open transaction.
   std::optional<SessionId> session;
   bool in_transaction = false;
-  /// A replaced primary refuses statements in this transaction, so each success proves that the member is the primary.
-  bool proves_leadership = false;
   /// The transaction was begun by the caller. The connection stays with the session until the transaction ends.
   bool pinned = false;
   TimePoint opened_at;
--- a/servers/sessions/upstream_group.cc
+++ b/servers/sessions/upstream_group.cc
@@ -5,7 +5,7 @@
 
 namespace teaselrudder {
 
-bool UpstreamGroup::on_member_seen(const MemberEntry& entry, TimePoint now) {
+void UpstreamGroup::on_member_seen(const MemberEntry& entry, TimePoint now) {
   const auto [position, added] = m_members.try_emplace(entry.member);
   UpstreamMember& member = position->second;
   const auto members_not_leaving = std::count_if(
@@ -19,15 +19,14 @@
   } else if (!member.leaving_since.has_value()) {
     member.leaving_since = now;
   }
-  if (!entry.is_primary.value_or(false)) {
-    return false;
+  if (!entry.is_primary.value_or(false) || m_primary == entry.member) {
+    return;
   }
-  if (!m_primary.has_value() || !m_members.contains(*m_primary)) {
+  if (m_term == Term(0)) {
     m_primary = entry.member;
-    m_term = Term(0);
-    return true;
+  } else if (!was_primary) {
+    doubt_primary(now);
   }
-  return !was_primary && *m_primary != entry.member;
 }
 
 void UpstreamGroup::on_member_missing(const MemberId& member, bool store_was_unreachable, TimePoint now) {
@@ -69,16 +68,46 @@
   if (term < m_term || (m_primary == member && term == m_term)) {
     return false;
   }
-  const bool changed = m_primary != member;
+  const bool changed = m_primary != member || m_term == Term(0);
   m_primary = member;
   m_term = term;
+  m_primary_learned_at = now;
+  m_lease.reset();
+  m_doubted_at.reset();
   if (changed) {
     m_commit_waits_since.reset();
-    m_primary_learned_at = now;
   }
   return changed;
 }
 
+void UpstreamGroup::on_lease(const PrimaryLease& lease) {
+  const bool is_of_primary = m_term != Term(0) && lease.leader.term == m_term && m_primary == lease.leader.member;
+  if (!is_of_primary || (m_lease.has_value() && lease.until <= m_lease->until)) {
+    return;
+  }
+  m_lease = lease;
+  m_lease_requested_at.reset();
+}
+
+bool UpstreamGroup::is_leased_at(TimePoint time) const {
+  return m_lease.has_value() && m_primary_learned_at <= time && time <= m_lease->until;
+}
+
+bool UpstreamGroup::primary_holds_commits_before(TimePoint time) const {
+  if (m_term == Term(0)) {
+    return false;
+  }
+  if (m_lease.has_value() && time <= m_lease->until) {
+    return true;
+  }
+  const std::optional<PositionSample> newest = m_evidence.newest();
+  return newest.has_value() && newest->position.term <= m_term && time <= newest->requested_at;
+}
+
+bool UpstreamGroup::requests_lease(TimePoint now) const {
+  return m_lease_requested_at.has_value() && now < *m_lease_requested_at + kRequestRelevance;
+}
+
 void UpstreamGroup::on_primary_position(const LogPoint& position, TimePoint requested_at) {
   m_evidence.add(position, requested_at);
   on_reported_position(position, requested_at);
@@ -143,7 +172,11 @@
   }
   const TimePoint latest = std::max(primary->last_reply_at, m_primary_learned_at);
   return (latest != TimePoint() && now < latest + kReportRelevance) || primary->silent_since.has_value() ||
-         commit_stall(now) > Duration(0);
+         commit_stall(now) > Duration(0) || requests_lease(now) || doubts_primary(now);
+}
+
+bool UpstreamGroup::doubts_primary(TimePoint now) const {
+  return m_doubted_at.has_value() && now < *m_doubted_at + kRequestRelevance;
 }
 
 PrimaryEvidence UpstreamGroup::report(TimePoint now) const {
@@ -166,6 +199,12 @@
     report.commit_age = now - *m_commit_acknowledged_at;
   }
   report.commit_stalled_for = commit_stall(now);
+  if (m_lease.has_value() && now < m_lease->until) {
+    report.lease_remaining = m_lease->until - now;
+    report.lease_token = m_lease->token;
+  }
+  report.requests_lease = requests_lease(now);
+  report.doubts_primary = doubts_primary(now);
   if (const auto newest = m_evidence.newest(); newest.has_value()) {
     report.position = newest->position;
     report.position_age = now - newest->requested_at;
--- a/servers/sessions/upstream_group.h
+++ b/servers/sessions/upstream_group.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "core/group_leader.h"
 #include "core/log_point.h"
 #include "core/ports/evidence_port.h"
 #include "core/routing_table.h"
@@ -53,6 +54,9 @@
   /// within this time; if no commit is sent, no caller is waiting.
   static constexpr Duration kCommitStallWindow = std::chrono::seconds(2);
 
+  /// Time for which a doubt about the primary or a request for a lease is reported.
+  static constexpr Duration kRequestRelevance = std::chrono::milliseconds(400);
+
   /// Time for which an answer of the primary, or a change of the known primary, is worth reporting to other hosts. Log
   /// positions are useful for bounded reads up to their staleness bound, which is at most 2.5 s.
   static constexpr Duration kReportRelevance = std::chrono::milliseconds(2500);
@@ -65,9 +69,9 @@
   void configure(const ReplicatedGroup& configuration) { m_configuration = configuration; }
   const ReplicatedGroup& configuration() const { return m_configuration; }
 
-  /// Applies a member's entry from the store. Returns true if the caller should find out which member is the primary:
-  /// the entry newly claims that its member is the primary, and another member or none was known to be it.
-  bool on_member_seen(const MemberEntry& entry, TimePoint now);
+  /// Applies a member's entry from the store. If no primary was known yet, an entry that claims that its member is the
+  /// primary names it for the time being, in term zero. Otherwise a new claim raises a doubt about the known primary.
+  void on_member_seen(const MemberEntry& entry, TimePoint now);
 
   /// Notes that a member's entry is missing in the store. `store_was_unreachable` is true if the store has just been
   /// unreachable, in which case the member may write its entry again.
@@ -87,19 +91,41 @@
 
   /// Returns the known primary, if any.
   const std::optional<MemberId>& primary() const { return m_primary; }
-  /// Returns the term of the known primary; zero if no member has confirmed it.
+  /// Returns the term in which the holder of the failover duty announced the primary; zero if only its own entry names
+  /// it. Statements are sent to it only after the announcement.
   Term term() const { return m_term; }
 
-  /// Sets the primary to `member` in `term`, unless a later term is known. Returns true if the primary changed.
+  /// Sets the primary to `member` in `term`, as announced by the holder of the failover duty, unless a later term is
+  /// known. Returns true if the primary changed.
   bool update_primary(const MemberId& member, Term term, TimePoint now);
 
+  /// Notes a lease. It is ignored if its leader is not the known primary.
+  void on_lease(const PrimaryLease& lease);
+
+  /// Returns true if a lease on reading at the primary is valid at `time`. The time must be after the announcement of
+  /// the primary.
+  bool is_leased_at(TimePoint time) const;
+
+  /// Returns true if the log of the primary contains every commit that was acknowledged before `time`: it is leased
+  /// beyond that time, or a commit or an answer under a lease since then proves it.
+  bool primary_holds_commits_before(TimePoint time) const;
+
+  /// Notes that statements wait for a lease. A request lapses when a lease arrives.
+  void request_lease(TimePoint now) { m_lease_requested_at = now; }
+  bool requests_lease(TimePoint now) const;
+
+  /// Notes a sign that the known primary is not the primary. Doubts are reported to the holder of the failover duty,
+  /// who then asks the members.
+  void doubt_primary(TimePoint now) { m_doubted_at = now; }
+  bool doubts_primary(TimePoint now) const;
+
   /// Notes that a command was sent to `member` or a connection attempt was started.
   void on_attempt(const MemberId& member, TimePoint now);
 
   /// Notes an answer of `member`. `waiting` is true if further answers are outstanding.
   void on_answer(const MemberId& member, bool waiting, TimePoint now);
 
-  /// Notes a log position in an answer of a member that was the primary when it answered.
+  /// Notes a log position of the primary. The log up to it contains every commit acknowledged before `requested_at`.
   void on_primary_position(const LogPoint& position, TimePoint requested_at);
 
   /// Notes a log position that a member reported as primary in a status report at `at`. The member may have been
@@ -142,6 +168,9 @@
   std::optional<MemberId> m_primary;
   TimePoint m_primary_learned_at;
   Term m_term;
+  std::optional<PrimaryLease> m_lease;
+  std::optional<TimePoint> m_lease_requested_at;
+  std::optional<TimePoint> m_doubted_at;
   PositionEvidence m_evidence;
   std::optional<TimePoint> m_commit_acknowledged_at;
   std::optional<TimePoint> m_commit_waits_since;
--- a/tests/model/guarantee_checker.cc
+++ b/tests/model/guarantee_checker.cc
@@ -159,6 +159,9 @@
     lines.push_back("LOST: commit " + std::to_string(commit.position.position.value()) + " of term " +
                     std::to_string(commit.position.term.value()));
   }
+  for (const std::string& request : m_members.promotion_violations()) {
+    lines.push_back("ONE: " + request);
+  }
   for (const std::string& id : m_members.duplicate_writes()) {
     lines.push_back("TWICE: write took effect more than once: " + id);
   }
--- a/tests/model/guarantee_checker.h
+++ b/tests/model/guarantee_checker.h
@@ -55,6 +55,7 @@
   /// - STALE: a read did not see a commit that it must see.
   /// - TWICE: a write took effect more than once.
   /// - REFUSED: a write was committed although the caller was told that it had no effect.
+  /// - ONE: two holders of the failover duty acted at once, or one acted after a newer one.
   /// - LOST: an acknowledged commit or write is missing.
   std::vector<std::string> violations() const;
 
--- a/tests/model/replicated_members.cc
+++ b/tests/model/replicated_members.cc
@@ -11,6 +11,8 @@
 constexpr Duration kNetworkDelay = std::chrono::milliseconds(1);
 constexpr Duration kStatementTime = std::chrono::milliseconds(4);
 constexpr Duration kPromotionTimeout = std::chrono::milliseconds(900);
+/// Interval at which a replaced primary tries to reach the new one.
+constexpr Duration kReplacementCheckInterval = std::chrono::milliseconds(100);
 constexpr std::uint64_t kConnectionKeysPerHost = std::uint64_t{1} << 56U;
 
 }  // namespace
@@ -66,12 +68,14 @@
 }
 
 std::size_t ReplicatedMembers::primary() const {
+  std::size_t found = m_members.size();
   for (std::size_t index = 0; index < m_members.size(); ++index) {
-    if (m_members[index]->is_primary) {
-      return index;
+    if (m_members[index]->is_primary &&
+        (found == m_members.size() || m_members[found]->term < m_members[index]->term)) {
+      found = index;
     }
   }
-  return m_members.size();
+  return found;
 }
 
 void ReplicatedMembers::crash(std::size_t index, bool unreachable) {
@@ -452,7 +456,7 @@
   // Log that a primary sent before it stepped down still arrives. Log of a former primary is dropped once there is a
   // new primary.
   const bool outdated = m_members[from]->term < replica.term || (primary() < m_members.size() && primary() != from);
-  if (outdated || !replica.alive || replica.receives_no_log || replica.stopped_below > Term(0) ||
+  if (outdated || replica.is_primary || !replica.alive || replica.receives_no_log || replica.stopped_below > Term(0) ||
       !m_members[from]->alive || (is_blocked_between && is_blocked_between(from, to))) {
     return;
   }
@@ -494,27 +498,72 @@
   for (std::size_t other = 0; other < m_members.size(); ++other) {
     Member& member = *m_members[other];
     member.stopped_below = Term(0);
-    if (other != index) {
-      member.is_primary = false;
-      member.applied = std::min(member.applied, new_primary.log.size());
+    if (other == index) {
+      continue;
+    }
+    if (replaced_primary_continues && member.is_primary && member.alive) {
+      notice_replacement(other, Duration(0));
+      continue;
     }
+    member.is_primary = false;
+    member.applied = std::min(member.applied, new_primary.log.size());
   }
   new_primary.is_primary = true;
   new_primary.term = Term(highest_term.value() + 1);
   new_primary.applied = new_primary.log.size();
+  fail_commits_of_replicas();
+  replicate(index);
+}
+
+void ReplicatedMembers::fail_commits_of_replicas() {
   for (auto waiting = m_unacknowledged_commits.begin(); waiting != m_unacknowledged_commits.end();) {
-    // The former primary fails commits that it had not acknowledged.
     Connection& connection = m_connections.at(waiting->first);
+    if (m_members[connection.member]->is_primary) {
+      ++waiting;
+      continue;
+    }
+    // The former primary fails commits that it had not acknowledged.
     connection.state = TransactionState::kIdle;
     const std::uint64_t key = waiting->first;
     waiting = m_unacknowledged_commits.erase(waiting);
     answer(key, make_error_reply(connection, StatementErrorCode::kFailed));
   }
-  replicate(index);
 }
 
-void ReplicatedMembers::promote(const GroupId& group, const MemberId& member, const HostId& /*holder*/,
-                                FencingToken token, PromotionEvents& receiver) {
+void ReplicatedMembers::notice_replacement(std::size_t index, Duration reachable_for) {
+  m_events.at(m_events.now() + kReplacementCheckInterval, [this, index, reachable_for] {
+    Member& member = *m_members[index];
+    const std::size_t leader = primary();
+    if (!member.is_primary || leader == index) {
+      return;
+    }
+    const bool reachable =
+        member.alive && m_members[leader]->alive && !(is_blocked_between && is_blocked_between(index, leader));
+    const Duration reached = reachable ? reachable_for + kReplacementCheckInterval : Duration(0);
+    if (reached < kReplacementNoticeTime) {
+      notice_replacement(index, reached);
+      return;
+    }
+    member.is_primary = false;
+    fail_commits_of_replicas();
+    replicate(leader);
+  });
+}
+
+void ReplicatedMembers::check_order(const HostId& holder, std::uint64_t token) {
+  const auto [earlier, added] = m_holder_of_token.try_emplace(token, holder);
+  if (!added && earlier->second != holder) {
+    m_promotion_violations.push_back(holder.value() + " promotes with the token of " + earlier->second.value());
+  }
+  if (!checks_tokens && m_holder_of_token.rbegin()->first > token) {
+    m_promotion_violations.push_back(holder.value() + " promotes with token " + std::to_string(token) +
+                                     " after a higher one");
+  }
+}
+
+void ReplicatedMembers::promote(const GroupId& group, const MemberId& member, const HostId& holder, FencingToken token,
+                                PromotionEvents& receiver) {
+  check_order(holder, token.value());
   const auto reply = [this, group, member, &receiver](PromotionOutcome outcome) {
     m_events.at(m_events.now() + kNetworkDelay, [this, group, member, outcome, &receiver] {
       receiver.on_promotion(group, member, outcome, m_events.now());
@@ -528,7 +577,8 @@
     m_events.at(m_events.now() + promotion_delay, [this, member, token] {
       for (std::size_t target = 0; target < m_members.size(); ++target) {
         const bool is_target = m_members[target]->entry.member == member && m_members[target]->alive;
-        if (is_target && token.value() >= m_newest_token && !m_members[target]->is_primary) {
+        const bool is_accepted = !checks_tokens || token.value() >= m_newest_token;
+        if (is_target && is_accepted && primary() != target) {
           become_primary(target);
         }
       }
@@ -541,15 +591,15 @@
       index = candidate;
     }
   }
-  if (token.value() < m_newest_token || index == m_members.size() || !m_members[index]->alive) {
+  if ((checks_tokens && token.value() < m_newest_token) || index == m_members.size() || !m_members[index]->alive) {
     reply(PromotionOutcome::kRejected);
     return;
   }
-  m_newest_token = token.value();
-  if (!m_members[index]->is_primary) {
+  m_newest_token = std::max(m_newest_token, token.value());
+  if (primary() != index) {
     ++m_promotions;
     m_events.at(m_events.now() + promotion_time, [this, index] {
-      if (m_members[index]->alive && !m_members[index]->is_primary) {
+      if (m_members[index]->alive && primary() != index) {
         become_primary(index);
       }
     });
--- a/tests/model/replicated_members.h
+++ b/tests/model/replicated_members.h
@@ -41,6 +41,9 @@
 /// product.
 class ReplicatedMembers final : public MemberLinkPort, public PromotionPort {
  public:
+  /// Time that a replaced primary which can reach the new one needs to notice it.
+  static constexpr Duration kReplacementNoticeTime = std::chrono::seconds(1);
+
   using RunObserver = std::function<void(const RequestId&, const StatementRun&)>;
 
   struct Member {
@@ -68,7 +71,7 @@
 
   Member& member(std::size_t index) { return *m_members[index]; }
   std::size_t size() const { return m_members.size(); }
-  /// Returns the index of the primary, or size() if there is none.
+  /// Returns the index of the primary of the highest term, or size() if there is none.
   std::size_t primary() const;
   const GroupId& group() const { return m_group; }
 
@@ -90,11 +93,19 @@
   /// Returns the highest position of a commit acknowledged before `time`.
   LogPoint acknowledged_before(TimePoint time) const;
   std::uint64_t promotions() const { return m_promotions; }
+  /// Returns descriptions of promotion requests that no holder of the failover duty may send: with a token that another
+  /// holder used, or, where tokens are not checked, with one that is lower than an earlier one.
+  const std::vector<std::string>& promotion_violations() const { return m_promotion_violations; }
   /// Time that a commit takes from the primary to a replica.
   Duration replication_delay = std::chrono::milliseconds(2);
   /// Time between a promotion request and its effect.
   Duration promotion_time = std::chrono::milliseconds(300);
   std::size_t max_connections = 22;
+  /// A primary that was replaced without being told keeps serving reads and writes of its term, until it is told to
+  /// step down or kReplacementNoticeTime after it can reach the new primary. Otherwise it stops at the promotion.
+  bool replaced_primary_continues = false;
+  /// Promotion requests with an outdated token are rejected.
+  bool checks_tokens = true;
   /// Number of the next promotion requests that get no answer and take effect only after `promotion_delay`, unless
   /// their token is outdated by then.
   int delayed_promotions = 0;
@@ -149,6 +160,10 @@
   LogPoint received_position(const Member& member) const;
   LogPoint applied_position(const Member& member) const;
   void become_primary(std::size_t index);
+  /// Makes a replaced primary a replica once it has been able to reach the new primary for some time.
+  void notice_replacement(std::size_t index, Duration reachable_for);
+  void fail_commits_of_replicas();
+  void check_order(const HostId& holder, std::uint64_t token);
 
   EventQueue& m_events;
   GroupId m_group;
@@ -160,6 +175,8 @@
   std::vector<ModelCommit> m_lost;
   std::set<std::string> m_duplicate_writes;
   std::uint64_t m_newest_token = 0;
+  std::map<std::uint64_t, HostId> m_holder_of_token;
+  std::vector<std::string> m_promotion_violations;
   std::uint64_t m_promotions = 0;
 };
 
--- a/tests/model/session_world.cc
+++ b/tests/model/session_world.cc
@@ -97,8 +97,8 @@
       m_checker(m_members, kMaxStaleness) {
   m_members.is_blocked_from_host = [this](std::size_t links, std::size_t member) {
     const std::size_t host = links / kProcessesPerHost;
-    return m_isolated_hosts.contains(host) != m_isolated_members.contains(member) ||
-           m_blocked_paths.contains({host, member});
+    const bool is_cut = m_isolated_hosts.contains(host) != m_isolated_members.contains(member);
+    return (is_cut && !m_allowed_paths.contains({host, member})) || m_blocked_paths.contains({host, member});
   };
   m_members.is_blocked_between = [this](std::size_t from, std::size_t to) {
     return m_isolated_members.contains(from) != m_isolated_members.contains(to);
--- a/tests/model/session_world.h
+++ b/tests/model/session_world.h
@@ -84,6 +84,8 @@
   void heal();
   /// Blocks the network between this host and this member in both directions.
   void block_path(std::size_t host, std::size_t member) { m_blocked_paths.insert({host, member}); }
+  /// Lets this host and this member reach each other in spite of a partition.
+  void allow_path(std::size_t host, std::size_t member) { m_allowed_paths.insert({host, member}); }
   /// Drops all reports between hosts.
   bool drops_reports = false;
   /// Drops reports with more groups than this, like datagrams that are too large.
@@ -128,6 +130,7 @@
   std::set<std::size_t> m_isolated_hosts;
   std::set<std::size_t> m_isolated_members;
   std::set<std::pair<std::size_t, std::size_t>> m_blocked_paths;
+  std::set<std::pair<std::size_t, std::size_t>> m_allowed_paths;
   std::vector<Caller> m_callers;
   std::map<std::pair<std::size_t, SessionId>, std::size_t> m_caller_by_session;
   std::vector<std::string> m_trace;
--- a/tests/platform/node_settings_test.cc
+++ b/tests/platform/node_settings_test.cc
@@ -9,7 +9,7 @@
 const std::string kSettings =
     "node: \"front-1\"\nzone: \"toledo-dc\"\nip: \"10.1.0.8\"\nnew_field: [1, 2]\n"
     "listen:\n  front: \"10.1.0.8:8784\"\n  ready: \"10.1.0.8:8785\"\nport_range:\n  - 7440\n  - 7455\n"
-    "limits:\n  max_fds: 4300\nbounds:\n  grace_s: 6\n"
+    "limits:\n  max_fds: 4300\nbounds:\n  grace_s: 6\n  require_fence: true\n"
     "platform:\n  addr: \"10.200.1.7:8783\"\n  ttl_min_ms: 1000\ncloud:\n  addr: \"10.200.0.160:8783\"\n";
 
 std::string replaced(const std::string& from, const std::string& to) {
@@ -33,6 +33,8 @@
     CPPUNIT_ASSERT(settings->host == HostId("front-1") && settings->domain == FailureDomainId("toledo-dc"));
     CPPUNIT_ASSERT((settings->evidence == Endpoint{"10.1.0.8", 7440}));
     CPPUNIT_ASSERT(settings->stop_grace == std::chrono::seconds(6));
+    CPPUNIT_ASSERT(settings->promotion_tokens_are_checked);
+    CPPUNIT_ASSERT(!parse_node_settings(replaced("  require_fence: true\n", ""))->promotion_tokens_are_checked);
     CPPUNIT_ASSERT(to_text(*settings).find("stop_grace_ms=6000\n") != std::string::npos);
   }
 
@@ -44,6 +46,7 @@
       CPPUNIT_ASSERT_MESSAGE(settings.error(), settings.error().find(field) != std::string::npos);
     };
     expect_error(replaced("grace_s: 6", "grace_s: 0"), "bounds.grace_s");
+    expect_error(replaced("require_fence: true", "require_fence: perhaps"), "bounds.require_fence");
     expect_error(replaced("10.200.1.7:8783", "store"), "platform.addr");
     expect_error(replaced("node: \"front-1\"\n", ""), "node");
     expect_error(replaced("  - 7440\n  - 7455\n", "  - 0\n"), "port_range");
--- a/tests/servers/explain/log_explainer_test.cc
+++ b/tests/servers/explain/log_explainer_test.cc
@@ -198,7 +198,8 @@
     std::size_t hosts = 0;
     std::size_t steps = 0;
     for (const std::string& line : timeline) {
-      hosts += line.find("primary_learned") != std::string::npos ? 1 : 0;
+      const bool is_of_new_primary = line.find("term=2") != std::string::npos;
+      hosts += line.find("primary_learned") != std::string::npos && is_of_new_primary ? 1 : 0;
       steps += line.find("replacement") != std::string::npos ? 1 : 0;
     }
     CPPUNIT_ASSERT_EQUAL(std::size_t{3}, hosts);
--- a/tests/servers/failover/failover_duty_test.cc
+++ b/tests/servers/failover/failover_duty_test.cc
@@ -193,8 +193,7 @@
 
  private:
   void on_primary_position(const GroupId& /*group*/, const LogPoint& /*position*/, TimePoint /*at*/) override {}
-  void on_primary_found(const GroupId& /*group*/, const MemberId& /*member*/, Term /*term*/,
-                        TimePoint /*now*/) override {}
+  void on_leader_announced(const GroupId& /*group*/, const GroupLeader& /*leader*/, TimePoint /*now*/) override {}
   void log_state_change(std::string_view event, const LogFields& fields) override {
     const bool begins = std::any_of(fields.begin(), fields.end(), [](const auto& field) {
       return field.first == "from" && field.second == "watching";
--- a/tests/servers/sessions/session_host_partition_test.cc
+++ b/tests/servers/sessions/session_host_partition_test.cc
@@ -19,6 +19,9 @@
   CPPUNIT_TEST(isolated_host_closes_a_session_after_refusing_its_statement);
   CPPUNIT_TEST(host_is_ready_again_soon_after_a_partition);
   CPPUNIT_TEST(host_that_cannot_reach_the_primary_serves_bounded_reads);
+  CPPUNIT_TEST(replaced_primary_that_continues_in_a_partition_serves_no_stale_reads);
+  CPPUNIT_TEST(replaced_primary_that_one_host_still_reaches_serves_no_stale_reads);
+  CPPUNIT_TEST(host_that_alone_reaches_the_store_does_not_act_for_the_fleet);
   CPPUNIT_TEST(primary_lost_together_with_the_duty_holder_is_replaced_in_time);
   CPPUNIT_TEST(statements_succeed_with_more_hosts_than_connections);
   CPPUNIT_TEST(hosts_keep_idle_connections_if_the_limit_allows_one_each);
@@ -26,6 +29,23 @@
   CPPUNIT_TEST_SUITE_END();
 
  public:
+  static bool holds_duty(SessionWorld& world, std::size_t host) {
+    return world.host(host).metrics(world.events().now()).find("holds_failover_duty 1") != std::string::npos;
+  }
+
+  static std::size_t host_without_duty(SessionWorld& world) { return holds_duty(world, 0) ? 1 : 0; }
+
+  /// Sends writes and reads in turn for `rounds` rounds at each of `callers`.
+  static void run_statements(SessionWorld& world, const std::vector<std::size_t>& callers, int rounds) {
+    for (int round = 0; round < rounds; ++round) {
+      for (const std::size_t caller : callers) {
+        world.send_and_wait(caller, StatementKind::kWrite);
+        world.send_and_wait(caller, StatementKind::kRead);
+      }
+      world.run_for(std::chrono::milliseconds(50));
+    }
+  }
+
   // Guards against an isolated host that keeps sessions it cannot serve, although the load balancer would route them to
   // other hosts.
   void isolated_host_closes_its_idle_sessions() {
@@ -92,6 +112,95 @@
     expect_no_violations(world);
   }
 
+  // Guards against stale reads at a primary that was replaced without being told, because it and a host are cut off
+  // together. Members of some outsides keep serving then.
+  void replaced_primary_that_continues_in_a_partition_serves_no_stale_reads() {
+    SessionWorld world(5);
+    world.members().replaced_primary_continues = true;
+    const std::vector<std::size_t> callers = world.open_sessions(SessionWorld::kPrimaryReads);
+    const std::size_t bounded = world.open_session(host_without_duty(world), SessionWorld::kBoundedReads);
+    const std::size_t cut_off = world.caller(bounded).host;
+    run_statements(world, callers, 5);
+    world.isolate({cut_off}, {world.members().primary()});
+    for (int round = 0; round < 60; ++round) {
+      for (const std::size_t caller : {callers[cut_off], bounded}) {
+        if (world.caller(caller).sent.empty() && !world.caller(caller).closed) {
+          world.send(caller, StatementKind::kRead);
+        }
+      }
+      run_statements(world, {callers[(cut_off + 1) % 5]}, 1);
+    }
+    CPPUNIT_ASSERT(world.members().promotions() > 0);
+    world.isolate({}, {});
+    world.run_for(3 * kSecond);
+    const std::size_t later = world.open_session(cut_off, SessionWorld::kPrimaryReads);
+    CPPUNIT_ASSERT(!world.send_and_wait(later, StatementKind::kRead).error.has_value());
+    expect_no_violations(world);
+  }
+
+  // Guards against stale reads while only one host still reaches a primary that was replaced, and against writes that
+  // wait there.
+  void replaced_primary_that_one_host_still_reaches_serves_no_stale_reads() {
+    SessionWorld world(5);
+    world.members().replaced_primary_continues = true;
+    const std::vector<std::size_t> callers = world.open_sessions(SessionWorld::kPrimaryReads);
+    run_statements(world, callers, 5);
+    const std::size_t connected = host_without_duty(world);
+    const std::size_t old_primary = world.members().primary();
+    world.isolate({}, {old_primary});
+    world.allow_path(connected, old_primary);
+    for (int round = 0; round < 40; ++round) {
+      if (world.caller(callers[connected]).sent.empty()) {
+        world.send(callers[connected], StatementKind::kRead);
+      }
+      run_statements(world, {callers[(connected + 1) % 5]}, 1);
+    }
+    CPPUNIT_ASSERT(world.members().promotions() > 0);
+    CPPUNIT_ASSERT(!world.send_and_wait(callers[connected], StatementKind::kWrite).error.has_value());
+    CPPUNIT_ASSERT_MESSAGE("the old primary was not told to step down",
+                           !world.members().member(old_primary).is_primary);
+    expect_no_violations(world);
+  }
+
+  // Guards against two holders of the failover duty: the store turns most hosts away, so their records lapse, while one
+  // host that still reaches it is partitioned from the others. It then took itself for the whole fleet, promoted
+  // another primary and announced it, while the former holder went on granting leases on the old one.
+  void host_that_alone_reaches_the_store_does_not_act_for_the_fleet() {
+    SessionWorld world(6);
+    world.members().replaced_primary_continues = true;
+    const std::vector<std::size_t> callers = world.open_sessions(SessionWorld::kPrimaryReads);
+    run_statements(world, callers, 5);
+    const std::size_t alone = host_without_duty(world);
+    const std::size_t primary = world.members().primary();
+    std::vector<std::size_t> turned_away;
+    for (std::size_t host = 0; host < callers.size(); ++host) {
+      if (host != alone) {
+        turned_away.push_back(host);
+        world.allow_path(host, primary);
+      }
+    }
+    std::set<std::size_t> replicas;
+    for (std::size_t member = 0; member < world.members().size(); ++member) {
+      if (member != primary) {
+        replicas.insert(member);
+      }
+    }
+    // The lone host reaches the replicas, the others reach the primary, which its replicas do not follow.
+    world.isolate({alone}, replicas);
+    world.store().unreachable_hosts = turned_away;
+    for (int round = 0; round < 70; ++round) {
+      for (const std::size_t caller : callers) {
+        if (world.caller(caller).sent.empty() && !world.caller(caller).closed) {
+          world.send(caller, round % 2 == 0 ? StatementKind::kRead : StatementKind::kWrite);
+        }
+      }
+      world.run_for(std::chrono::milliseconds(150));
+    }
+    world.isolate({}, {});
+    world.run_for(3 * kSecond);
+    expect_no_violations(world);
+  }
+
   // Guards against a new holder of the failover duty that waits and probes for seconds although the other hosts have
   // already reported that the primary does not answer. The replacement then took 3.3 s after the loss instead of 2 s.
   void primary_lost_together_with_the_duty_holder_is_replaced_in_time() {
@@ -99,7 +208,7 @@
     std::vector<std::size_t> callers;
     std::size_t duty_holder = 0;
     for (std::size_t host = 0; host < 5; ++host) {
-      if (world.host(host).metrics(world.events().now()).find("holds_failover_duty 1") != std::string::npos) {
+      if (holds_duty(world, host)) {
         duty_holder = host;
       } else {
         callers.push_back(world.open_session(host, SessionWorld::kPrimaryReads));
--- a/tests/servers/sessions/session_host_random_test.cc
+++ b/tests/servers/sessions/session_host_random_test.cc
@@ -14,11 +14,27 @@
 
 constexpr std::size_t kHosts = 4;
 constexpr int kSteps = 1500;
+/// Time from the end of the faults to the first write that must be served.
+constexpr Duration kRecoveryTime = std::chrono::seconds(12);
+/// The same where no token stops a promotion order of an earlier holder of the failover duty. Replicas that such a
+/// holder stopped receive again only when its orders can no longer take effect.
+constexpr Duration kRecoveryTimeWithoutFences = PrimaryReplacement::kUnansweredPromotionTime + kRecoveryTime;
 
-/// One run: callers send random statements while members, hosts and the store fail at random.
+/// What a primary does when it is replaced without being told, and whether promotions with outdated tokens are
+/// rejected.
+enum class Outside {
+  kFenced,    // It stops at once, and they are.
+  kUnfenced,  // It goes on in its term, and they are not.
+};
+
+/// One run: callers send random statements while members, hosts and the store fail at random. Where the outside is not
+/// fenced, hosts and members are also partitioned.
 class RandomRun {
  public:
-  explicit RandomRun(std::uint64_t seed) : m_random(seed), m_world(kHosts, seed) {}
+  RandomRun(std::uint64_t seed, Outside outside) : m_random(seed), m_world(kHosts, seed), m_outside(outside) {
+    m_world.members().replaced_primary_continues = outside == Outside::kUnfenced;
+    m_world.members().checks_tokens = outside == Outside::kFenced;
+  }
 
   std::vector<std::string> execute() {
     for (int step = 0; step < kSteps; ++step) {
@@ -32,7 +48,7 @@
       m_world.run_for(std::chrono::milliseconds(random_below(30)));
     }
     end_faults();
-    m_world.run_for(std::chrono::seconds(12));
+    m_world.run_for(m_outside == Outside::kFenced ? kRecoveryTime : kRecoveryTimeWithoutFences);
     std::vector<std::string> violations = m_world.violations();
     const std::size_t last = m_world.open_session(first_running_host(), SessionWorld::kPrimaryReads);
     if (m_world.send_and_wait(last, StatementKind::kWrite).error.has_value()) {
@@ -108,6 +124,10 @@
     auto& members = m_world.members();
     const std::size_t index = random_below(members.size());
     auto& member = members.member(index);
+    if (m_outside == Outside::kUnfenced && random_below(5) == 0) {
+      change_partition(index);
+      return;
+    }
     const std::size_t kind = random_below(11);
     m_world.add_to_trace("fault " + std::to_string(kind) + " member " + std::to_string(index));
     switch (kind) {
@@ -152,6 +172,19 @@
     }
   }
 
+  void change_partition(std::size_t member) {
+    const std::size_t host = random_below(kHosts);
+    const bool heals = random_below(2) == 0;
+    m_world.add_to_trace(heals ? "fault network whole"
+                               : "fault network cuts off host " + std::to_string(host) + " and member " +
+                                     std::to_string(member));
+    if (heals) {
+      m_world.isolate({}, {});
+    } else {
+      m_world.isolate({host}, {member});
+    }
+  }
+
   void kill_or_restart_host() {
     const std::size_t host = random_below(kHosts);
     if (m_stopped_hosts.contains(host)) {
@@ -188,11 +221,13 @@
     m_world.store().down = false;
     m_world.store().lost_writes = 0;
     m_world.drops_reports = false;
+    m_world.isolate({}, {});
     m_world.publish_members();
   }
 
   std::mt19937_64 m_random;
   SessionWorld m_world;
+  Outside m_outside;
   std::set<std::size_t> m_stopped_hosts;
   int m_crashed_members = 0;
 };
@@ -200,6 +235,7 @@
 class SessionHostRandomTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(SessionHostRandomTest);
   CPPUNIT_TEST(guarantees_hold_under_random_faults);
+  CPPUNIT_TEST(guarantees_hold_without_fences);
   CPPUNIT_TEST(commits_of_a_lost_replica_survive_a_change_of_the_duty_holder);
   CPPUNIT_TEST_SUITE_END();
 
@@ -210,19 +246,29 @@
   void guarantees_hold_under_random_faults() {
     std::uint64_t promotions = 0;
     for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
-      promotions += expect_no_violations(seed);
+      promotions += expect_no_violations(seed, Outside::kFenced);
+    }
+    CPPUNIT_ASSERT_MESSAGE("too few runs replaced a primary", promotions > 10);
+  }
+
+  // Guards against the same where a primary that was replaced without being told goes on, and where nothing but the
+  // hosts themselves keeps promotions in order.
+  void guarantees_hold_without_fences() {
+    std::uint64_t promotions = 0;
+    for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+      promotions += expect_no_violations(seed, Outside::kUnfenced);
     }
     CPPUNIT_ASSERT_MESSAGE("too few runs replaced a primary", promotions > 10);
   }
 
   // Guards against the loss of commits that only a lost replica and a leaving primary hold, if another host takes over
   // the failover duty meanwhile.
-  void commits_of_a_lost_replica_survive_a_change_of_the_duty_holder() { expect_no_violations(234); }
+  void commits_of_a_lost_replica_survive_a_change_of_the_duty_holder() { expect_no_violations(234, Outside::kFenced); }
 
  private:
   /// Executes the run with the given seed and returns the number of promotions.
-  static std::uint64_t expect_no_violations(std::uint64_t seed) {
-    RandomRun run(seed);
+  static std::uint64_t expect_no_violations(std::uint64_t seed, Outside outside) {
+    RandomRun run(seed, outside);
     const std::vector<std::string> violations = run.execute();
     if (!violations.empty()) {
       print(run.trace());
--- a/tests/servers/sessions/session_parts_test.cc
+++ b/tests/servers/sessions/session_parts_test.cc
@@ -132,6 +132,7 @@
       entry.is_primary = std::string(id) == "primary";
       group.on_member_seen(entry, kStart);
     }
+    group.update_primary(MemberId("primary"), Term(1), kStart);
     UpstreamMember& replica = *group.find(MemberId("replica"));
     replica.applied = {Term(1), LogPosition(10)};
     replica.applied_at = kStart;
@@ -139,7 +140,7 @@
     const FailureDomainId domain("toledo");
     const auto idle = [](const UpstreamMember&) { return std::size_t{0}; };
     const auto candidates = [&](std::uint64_t position, Duration later) {
-      const ReadNeeds needs{LogPoint{Term(1), LogPosition(position)}, avoided, domain};
+      const ReadNeeds needs{LogPoint{Term(1), LogPosition(position)}, false, avoided, domain};
       return rank_read_candidates(group, needs, idle, kStart + later).size();
     };
     CPPUNIT_ASSERT_EQUAL(std::size_t{2}, candidates(10, Duration(0)));
