Record announced leaders in the store and resume replicas that this host stopped

Two members could be taken for the leader of one term, if a report says so. Change: leaders/GROUP holds term and member, written after the announcement and never waited for; hosts that start use it at once. Only stops of an earlier holder are kept until its orders have lapsed. Leases continue during the survey of a replacement. One term has one leader. Ruled out: a lease time below 900 ms, which two lost reports would exhaust.

--- a/core/ports/coordination_port.h
+++ b/core/ports/coordination_port.h
@@ -115,8 +115,8 @@
   virtual void renew_lease(StoreCallId call, LeaseId lease, CoordinationEvents& receiver) = 0;
   virtual void end_lease(StoreCallId call, LeaseId lease, CoordinationEvents& receiver) = 0;
 
-  /// Writes `key` under `lease` if the revision of its last change equals `expected`; an `expected` of zero requires
-  /// that the key does not exist. Fails with kConflict otherwise.
+  /// Writes `key` under `lease`, or without one if `lease` is zero, if the revision of its last change equals
+  /// `expected`; an `expected` of zero requires that the key does not exist. Fails with kConflict otherwise.
   virtual void write(StoreCallId call, const std::string& key, StoreRevision expected, const std::string& value,
                      LeaseId lease, CoordinationEvents& receiver) = 0;
 };
--- /dev/null
+++ b/servers/catalogue/leader_records.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string_view>
+
+#include "core/group_leader.h"
+#include "core/metrics/counters.h"
+#include "core/ports/coordination_port.h"
+#include "core/ports/event_log_port.h"
+
+namespace teaselrudder {
+
+/// Records of the announced leaders in the platform's store, one key per group, without a lease.
+///
+/// They let a host that has just started use a primary, and a new holder of the failover duty grant leases on it,
+/// without waiting until the leases of a former holder have run out. An announcement never waits for its record: while
+/// the store is unreachable, hosts learn the leader from each other's reports.
+class LeaderRecords final : private CoordinationEvents {
+ public:
+  static constexpr std::string_view kPrefix = "leaders/";
+  /// Delay before a write that failed is tried again.
+  static constexpr Duration kRetryDelay = std::chrono::milliseconds(500);
+
+  /// All references must outlive the object.
+  LeaderRecords(CoordinationPort& store, Counters& counters, EventLogPort& log)
+      : m_store(store), m_counters(counters), m_log(log) {}
+
+  /// Notes a change of a key with the prefix kPrefix.
+  void on_record(const RecordChanged& record);
+
+  /// Returns the recorded leader of `group`; nothing if there is no valid record.
+  std::optional<GroupLeader> recorded(const GroupId& group) const;
+
+  /// Records `leader`, which this host has announced, unless a later term is recorded.
+  void record(const GroupId& group, const GroupLeader& leader);
+
+  /// Sends the writes that are due, one per group at a time.
+  void on_tick(TimePoint now);
+
+  /// Returns the time at which on_tick() has to be called next.
+  TimePoint next_wakeup() const { return m_wanted.empty() ? TimePoint::max() : m_next_attempt; }
+
+ private:
+  struct Record {
+    std::optional<GroupLeader> leader;
+    StoreRevision revision;
+  };
+  struct Write {
+    GroupId group;
+    GroupLeader leader;
+  };
+
+  void on_coordination_result(StoreCallId call, tl::expected<CoordinationResult, CoordinationError> outcome,
+                              TimePoint now) override;
+  bool is_recorded(const GroupId& group, Term term) const;
+
+  CoordinationPort& m_store;
+  Counters& m_counters;
+  EventLogPort& m_log;
+  std::map<GroupId, Record> m_records;
+  std::map<GroupId, GroupLeader> m_wanted;
+  std::map<StoreCallId, Write> m_running;
+  TimePoint m_next_attempt;
+  std::uint64_t m_next_call = 1;
+};
+
+}  // namespace teaselrudder
--- a/servers/failover/failover_duty.cc
+++ b/servers/failover/failover_duty.cc
@@ -157,7 +157,10 @@
 
 void FailoverDuty::grant_lease(const UpstreamGroup& group, GroupMonitor& monitor, const EvidenceBoard& board,
                                TimePoint now) {
-  if (group.term() == Term(0) || monitor.replacement->is_running() || is_suspected(group, monitor, board, now)) {
+  // The survey of a replacement does not disturb a primary that answers, and may find that it keeps its role.
+  const bool is_disturbed =
+      monitor.replacement->is_running() && monitor.replacement->state() != ReplacementState::kSurveying;
+  if (group.term() == Term(0) || is_disturbed || is_suspected(group, monitor, board, now)) {
     return;
   }
   monitor.leases.grant(now);
--- a/servers/failover/primary_replacement.cc
+++ b/servers/failover/primary_replacement.cc
@@ -220,6 +220,7 @@
     return;
   }
   m_term = Term(newest.value() + 1);
+  m_own_terms.insert(m_term);
   if (m_old_primary.has_value() && m_reports.contains(*m_old_primary)) {
     const bool has_candidate = std::any_of(m_reports.begin(), m_reports.end(), [&](const auto& report) {
       return is_replica(group, report.first) && holds_whole_log(group, report.second.received);
@@ -401,6 +402,7 @@
     if (leads_anew || (report.is_primary && m_candidate == outcome.member)) {
       m_services.on_leader(m_group, {outcome.member, report.term});
       m_services.counters.count("replacements_done");
+      resume_followers(group, outcome.member, now);
       fire(ReplacementEvent::kLeads, "member reports that it is the primary", now);
       return;
     }
@@ -454,14 +456,24 @@
   }
 }
 
+void PrimaryReplacement::resume_followers(const UpstreamGroup& group, const MemberId& leader, TimePoint now) {
+  for (const auto& [member, position] : m_stopped) {
+    const UpstreamMember* const known = group.find(member);
+    if (member != leader && known != nullptr) {
+      m_services.links.command(m_group, known->entry, MemberCommandKind::kResumeReceiving, m_term, now);
+    }
+  }
+}
+
 void PrimaryReplacement::resume_replicas(const UpstreamGroup& group, TimePoint now) {
   if (m_promotion_sent || now < m_unanswered_promotion_until) {
     return;
   }
   for (const auto& [member, report] : m_reports) {
-    const bool stopped_here = m_stopped.contains(member) && m_services.tokens_are_checked;
-    const bool is_stopped = stopped_here || (report.stopped_below > Term(0) && now >= m_input.former_orders_end_at);
-    if (const UpstreamMember* const known = group.find(member); known != nullptr && is_stopped) {
+    const bool by_former_holder = report.stopped_below > Term(0) && !m_own_terms.contains(report.stopped_below);
+    const bool may_resume = by_former_holder ? now >= m_input.former_orders_end_at
+                                             : m_stopped.contains(member) || report.stopped_below > Term(0);
+    if (const UpstreamMember* const known = group.find(member); known != nullptr && may_resume) {
       m_services.links.command(m_group, known->entry, MemberCommandKind::kResumeReceiving, m_term, now);
     }
   }
--- a/servers/failover/primary_replacement.h
+++ b/servers/failover/primary_replacement.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -151,6 +152,9 @@
   /// Returns true if some replica reported that it received `position`.
   bool is_received(const UpstreamGroup& group, const LogPoint& position) const;
   bool holds_whole_log(const UpstreamGroup& group, const LogPoint& received) const;
+  /// Lets the stopped replicas receive the log of the new primary. A promotion ends the stop only if the new term
+  /// reaches the term of the stop, which rises with each attempt.
+  void resume_followers(const UpstreamGroup& group, const MemberId& leader, TimePoint now);
   /// Lets stopped replicas receive again if no promotion order can be outstanding. Otherwise they stay stopped until
   /// the next replacement completes.
   void resume_replicas(const UpstreamGroup& group, TimePoint now);
@@ -172,6 +176,9 @@
   Term m_current_term;
   std::map<MemberId, MemberReport> m_reports;
   std::map<MemberId, LogPoint> m_stopped;
+  /// Terms in which this host has stopped replicas. A replica that is stopped in another term was stopped by an earlier
+  /// holder of the duty, whose order for a promotion may still take effect.
+  std::set<Term> m_own_terms;
   std::map<MemberId, TimePoint> m_command_sent_at;
   bool m_step_down_answered = false;
   /// Log position of the old primary after it stepped down.
--- a/servers/session_host/session_host.cc
+++ b/servers/session_host/session_host.cc
@@ -62,6 +62,7 @@
       m_duty(std::string(kDutyKey), duty_record(m_settings.self, m_settings.incarnation), RecordPolicy::kOnlyIfAbsent,
              timings(kDutyTimeToLive, kDutyRenewal, m_settings.min_time_to_live), ports.store, ports.counters,
              ports.log, m_settings.random_seed + 3),
+      m_leaders(ports.store, ports.counters, ports.log),
       m_failover({ports.links, ports.read_report, ports.promotions, *this, [this] { m_duty.rewrite(); }, ports.counters,
                   ports.log, m_settings.self, m_settings.promotion_tokens_are_checked},
                  std::move(replacement_chart)),
@@ -78,6 +79,7 @@
   m_sessions.set_routing_current(m_view.is_current(now), now);
   m_record.on_tick(m_view.is_complete(), now);
   update_duty(now);
+  m_leaders.on_tick(now);
   m_failover.on_tick(m_sessions.executor().groups(), m_board, duty_token(now), m_fleet_size, m_view.is_current(now),
                      now);
   if (m_failover.take_token_rejected()) {
@@ -97,8 +99,8 @@
 
 TimePoint SessionHost::next_wakeup() const {
   const TimePoint lease_request = m_sessions.executor().requests_lease() ? m_next_lease_request : TimePoint::max();
-  return std::min({lease_request, m_view.next_wakeup(), m_record.next_wakeup(), m_duty.next_wakeup(),
-                   m_failover.next_wakeup(), m_sessions.next_wakeup(), m_next_report});
+  return std::min({lease_request, m_leaders.next_wakeup(), m_view.next_wakeup(), m_record.next_wakeup(),
+                   m_duty.next_wakeup(), m_failover.next_wakeup(), m_sessions.next_wakeup(), m_next_report});
 }
 
 std::optional<FencingToken> SessionHost::duty_token(TimePoint now) const {
@@ -171,6 +173,7 @@
 
 void SessionHost::on_member(const MemberEntry& entry, TimePoint now) {
   m_sessions.executor().on_member_seen(entry, now);
+  apply_recorded_leader(entry.group, now);
 }
 
 void SessionHost::on_member_missing(const MemberId& member, bool store_was_unreachable, TimePoint now) {
@@ -183,6 +186,11 @@
     m_ring.set_duty_holder(record.value.has_value() ? std::optional<HostId>(duty_holder(*record.value)) : std::nullopt);
     return;
   }
+  if (record.key.starts_with(LeaderRecords::kPrefix)) {
+    m_leaders.on_record(record);
+    apply_recorded_leader(GroupId(record.key.substr(LeaderRecords::kPrefix.size())), now);
+    return;
+  }
   if (!record.key.starts_with(kHostPrefix)) {
     return;
   }
@@ -231,9 +239,16 @@
   m_sessions.executor().on_reported_position(group, position, at);
 }
 
+void SessionHost::apply_recorded_leader(const GroupId& group, TimePoint now) {
+  if (const auto leader = m_leaders.recorded(group); leader.has_value()) {
+    m_sessions.executor().update_primary(group, leader->member, leader->term, now);
+  }
+}
+
 void SessionHost::on_leader_announced(const GroupId& group, const GroupLeader& leader, TimePoint now) {
   m_announcements_left = kPrimaryAnnouncements;
   m_next_report = now;
+  m_leaders.record(group, leader);
   m_sessions.executor().update_primary(group, leader.member, leader.term, now);
 }
 
--- a/servers/session_host/session_host.h
+++ b/servers/session_host/session_host.h
@@ -8,6 +8,7 @@
 #include "core/ports/coordination_port.h"
 #include "core/ports/evidence_port.h"
 #include "core/ports/promotion_port.h"
+#include "servers/catalogue/leader_records.h"
 #include "servers/catalogue/leased_record.h"
 #include "servers/catalogue/store_view.h"
 #include "servers/failover/evidence_board.h"
@@ -128,6 +129,8 @@
   /// Returns true if the store is unreachable for this host and for all hosts whose reports arrive. Nobody else can
   /// then take over the duty, so a lease that could not be renewed remains valid.
   bool store_is_unreachable_for_all(TimePoint now) const;
+  /// Applies the recorded leader of the group, which has been announced.
+  void apply_recorded_leader(const GroupId& group, TimePoint now);
   /// Gives this host the leases that it grants as the holder of the failover duty.
   void apply_own_leases(TimePoint now);
   /// Applies a lease in the report of another host. Leases of a former holder of the duty are ignored.
@@ -153,6 +156,7 @@
   StoreView m_view;
   LeasedRecord m_record;
   LeasedRecord m_duty;
+  LeaderRecords m_leaders;
   EvidenceBoard m_board;
   FailoverDuty m_failover;
   std::map<HostId, OtherHost> m_others;
--- a/servers/sessions/upstream_group.cc
+++ b/servers/sessions/upstream_group.cc
@@ -65,7 +65,8 @@
 }
 
 bool UpstreamGroup::update_primary(const MemberId& member, Term term, TimePoint now) {
-  if (term < m_term || (m_primary == member && term == m_term)) {
+  // A term has one leader, so another member in the known term is an error of the sender.
+  if (term <= m_term) {
     return false;
   }
   const bool changed = m_primary != member || m_term == Term(0);
