--- a/tests/model/guarantee_checker_test.cc
+++ b/tests/model/guarantee_checker_test.cc
@@ -32,7 +32,7 @@
 }
 
 /// A checker with one session and members without faults.
-class CheckerFixture : public MemberLinkEvents {
+class CheckerFixture : public MemberLinkEvents, public PromotionEvents {
  public:
   CheckerFixture() : checker(members, seconds(1)), session(checker.add_session(ReadFreshness::kPrimary)) {
     members.observe_runs([this](const RequestId& id, const StatementRun& run) { checker.on_run(id, run); });
@@ -43,6 +43,7 @@
   void on_link_opened(ConnectionId, tl::expected<void, MemberLinkError>, TimePoint) override {}
   void on_link_reply(ConnectionId, StatementReply, TimePoint) override {}
   void on_link_closed(ConnectionId, TimePoint) override {}
+  void on_promotion(const GroupId&, const MemberId&, PromotionOutcome, TimePoint) override {}
 
   /// Sends a write with this id to the primary.
   void run_write(const std::string& id) {
@@ -79,6 +80,7 @@
   CPPUNIT_TEST(finds_statements_with_wrong_session_state);
   CPPUNIT_TEST(finds_duplicate_writes_and_commits_of_refused_writes);
   CPPUNIT_TEST(finds_lost_writes);
+  CPPUNIT_TEST(finds_holders_that_act_after_a_newer_one);
   CPPUNIT_TEST(finds_stale_reads);
   CPPUNIT_TEST_SUITE_END();
 
@@ -156,6 +158,21 @@
     fixture.expect("LOST");
   }
 
+  void finds_holders_that_act_after_a_newer_one() {
+    const auto promote = [](CheckerFixture& fixture, const char* holder, std::uint64_t token) {
+      fixture.members.promote(fixture.members.group(), MemberId("m1"), HostId(holder), FencingToken(token), fixture);
+    };
+    CheckerFixture same_token;
+    promote(same_token, "host0", 5);
+    promote(same_token, "host1", 5);
+    same_token.expect("ONE");
+    CheckerFixture lower_token;
+    lower_token.members.checks_tokens = false;
+    promote(lower_token, "host1", 6);
+    promote(lower_token, "host0", 5);
+    lower_token.expect("ONE");
+  }
+
   void finds_stale_reads() {
     CheckerFixture fixture;
     fixture.send(statement("w1", StatementKind::kWrite));
--- a/tests/servers/sessions/session_host_partition_test.cc
+++ b/tests/servers/sessions/session_host_partition_test.cc
@@ -168,7 +168,7 @@
   void host_that_alone_reaches_the_store_does_not_act_for_the_fleet() {
     SessionWorld world(6);
     world.members().replaced_primary_continues = true;
-    const std::vector<std::size_t> callers = world.open_sessions(SessionWorld::kPrimaryReads);
+    std::vector<std::size_t> callers = world.open_sessions(SessionWorld::kPrimaryReads);
     run_statements(world, callers, 5);
     const std::size_t alone = host_without_duty(world);
     const std::size_t primary = world.members().primary();
@@ -188,14 +188,19 @@
     // The lone host reaches the replicas, the others reach the primary, which its replicas do not follow.
     world.isolate({alone}, replicas);
     world.store().unreachable_hosts = turned_away;
-    for (int round = 0; round < 70; ++round) {
-      for (const std::size_t caller : callers) {
-        if (world.caller(caller).sent.empty() && !world.caller(caller).closed) {
+    // Records of hosts lapse after 6 s, and a host counts as gone 5 s after its last report.
+    for (int round = 0; round < 130; ++round) {
+      for (std::size_t& caller : callers) {
+        if (world.caller(caller).closed) {
+          caller = world.open_session(world.caller(caller).host, SessionWorld::kPrimaryReads);
+        } else if (world.caller(caller).sent.empty()) {
           world.send(caller, round % 2 == 0 ? StatementKind::kRead : StatementKind::kWrite);
         }
       }
       world.run_for(std::chrono::milliseconds(150));
     }
+    CPPUNIT_ASSERT_EQUAL_MESSAGE("a host without a quorum promoted a member", std::uint64_t{0},
+                                 world.members().promotions());
     world.isolate({}, {});
     world.run_for(3 * kSecond);
     expect_no_violations(world);
--- a/tests/soak/host_process.h
+++ b/tests/soak/host_process.h
@@ -31,8 +31,8 @@
   const Ports& ports() const { return m_ports; }
   bool is_running() const { return m_pid > 0; }
 
-  /// Writes the settings file.
-  void write_settings() const;
+  /// Writes the settings file. `fenced` says whether the platform rejects outdated promotion tokens.
+  void write_settings(bool fenced) const;
   /// Starts the process. Throws std::runtime_error on failure.
   void start();
   /// Sends a signal if the process is running.
--- a/tests/soak/soak_main.cc
+++ b/tests/soak/soak_main.cc
@@ -12,6 +12,8 @@
 DEFINE_uint64(faults, 12, "number of faults to inject");
 DEFINE_uint64(hosts, 4, "number of hosts, 2 to 64");
 DEFINE_uint64(callers, 24, "number of concurrent caller sessions, 1 to 10000");
+DEFINE_bool(unfenced, false,
+            "a replaced primary goes on until it is told to step down, and outdated promotion tokens are accepted");
 DEFINE_string(folder, "",
               "folder for the settings and logs of the hosts; empty: a temporary folder, kept if the run fails");
 DEFINE_bool(print_faults, false, "print each fault");
@@ -38,6 +40,7 @@
     settings.faults = FLAGS_faults;
     settings.hosts = FLAGS_hosts;
     settings.callers = FLAGS_callers;
+    settings.fenced = !FLAGS_unfenced;
     settings.program = (program_path.parent_path() / "teaselrudder-platform").string();
     settings.folder = folder.string();
     settings.prints_faults = FLAGS_print_faults;
--- a/tests/soak/soak_run.cc
+++ b/tests/soak/soak_run.cc
@@ -36,6 +36,8 @@
       m_shared{m_checker, [this] { return m_events.now(); }, {}, 0},
       m_callers(m_settings.callers) {
   uv_loop_init(&m_loop);
+  m_members.replaced_primary_continues = !m_settings.fenced;
+  m_members.checks_tokens = m_settings.fenced;
   m_members.observe_runs([this](const RequestId& id, const model::StatementRun& run) { m_checker.on_run(id, run); });
   m_network = std::make_unique<SoakNetwork>(&m_loop, m_events, m_members, m_settings.hosts);
   uv_run(&m_loop, UV_RUN_NOWAIT);
@@ -43,7 +45,7 @@
     m_hosts.push_back(std::make_unique<HostProcess>(m_settings.program, m_settings.folder,
                                                     SoakNetwork::host_name(index), "domain" + std::to_string(index % 3),
                                                     m_network->host(index).ports));
-    m_hosts.back()->write_settings();
+    m_hosts.back()->write_settings(m_settings.fenced);
     m_hosts.back()->start();
   }
   for (std::size_t index = 0; index < m_callers.size(); ++index) {
--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -20,6 +20,8 @@
   std::size_t faults = 12;
   std::size_t hosts = 4;
   std::size_t callers = 24;
+  /// A replaced primary stops at once, and promotions with outdated tokens are rejected.
+  bool fenced = true;
   /// Path of the executable that each host runs.
   std::string program;
   /// Existing folder for the settings and logs of the hosts.
