Notice the silence of a host that requests were forwarded to

Cause: a request that was forwarded to the owner of its group waited for the answer until its deadline. A frozen owner keeps its connections open, and probes of hosts select one at random once a second, so with two daemons, the owner stopped and the primary killed, writes came back after 10.2 s. Ruled out: a shorter timeout of forwarded requests, which would end long statements of a host that works; one failed probe as proof, which a single lost packet would bring about. Change: PeerCallTable tells which hosts have forwarded requests and have answered nothing for 300 ms. They are probed at once, twice at most 300 ms each; then they are suspect, and their requests continue without them: reads run elsewhere, writes get their outcome from the record of the request id in the group. HostTable remembers all hosts that it has to probe again, not only the last one. A lambda that captured a structured binding, which the linter rejects, is gone from LeaderRecords. Tests: requests_continue_without_a_frozen_owner, writes_resume_after_primary_and_owner_are_lost_together (virtual time) and writes_resume_after_a_frozen_owner_and_a_killed_primary (processes) failed first, without the check; request_that_takes_long_stays_with_its_owner.

--- a/servers/catalogue/leader_records.cc
+++ b/servers/catalogue/leader_records.cc
@@ -61,7 +61,9 @@
   }
   m_next_attempt = now + kRetryDelay;
   std::erase_if(m_wanted, [this](const auto& wanted) { return is_recorded(wanted.first, wanted.second.term); });
-  for (const auto& [group, leader] : m_wanted) {
+  for (const auto& wanted : m_wanted) {
+    const GroupId& group = wanted.first;
+    const GroupLeader& leader = wanted.second;
     const bool is_running = std::any_of(m_running.begin(), m_running.end(),
                                         [&group](const auto& running) { return running.second.group == group; });
     if (is_running) {
--- a/servers/host/entry_host.cc
+++ b/servers/host/entry_host.cc
@@ -18,6 +18,9 @@
 constexpr Duration kOwnerUpdateInterval = std::chrono::milliseconds(200);
 constexpr Duration kHostListInterval = std::chrono::seconds(5);
 constexpr Duration kConfigurationFetchTimeout = std::chrono::seconds(2);
+// Timeout of the probe of a host that has not answered a forwarded request for a while. Shorter than that of other
+// probes, because callers wait.
+constexpr Duration kSilenceProbeTimeout = std::chrono::milliseconds(300);
 
 }  // namespace
 
@@ -101,6 +104,7 @@
     m_next_owner_update = now + kOwnerUpdateInterval;
     m_groups.update_owners(now);
   }
+  check_silent_hosts(now);
   m_groups.on_tick(now);
   // The results of members have to be processed before deadlines are checked, or a request that has a result could be
   // ended a second time by its deadline.
@@ -129,6 +133,7 @@
   if (m_owners_changed) {
     consider(m_next_owner_update);
   }
+  consider(m_peer_calls.next_check());
   consider(m_groups.next_wakeup());
   consider(m_requests.next_wakeup());
   consider(m_configuration_manager.next_wakeup());
@@ -210,41 +215,15 @@
 }
 
 void EntryHost::on_peer_answered(PeerCallId call, tl::expected<PeerResponse, PeerError> outcome, TimePoint now) {
-  auto node = m_peer_calls.extract(call);
-  if (node.empty()) {
+  const std::optional<CallPurpose> purpose = m_peer_calls.take(call, outcome.has_value(), now);
+  if (!purpose.has_value()) {
     return;
   }
   const bool reached = outcome.has_value();
   std::visit(Overloaded{
-                 [&](const ForwardCall& forward) {
-                   if (reached && std::holds_alternative<SubmitReply>(*outcome)) {
-                     m_requests.on_forward_answered(forward.execution, forward.host,
-                                                    std::move(std::get<SubmitReply>(*outcome).outcome), now);
-                     return;
-                   }
-                   const PeerError error =
-                       reached ? PeerError{PeerErrorKind::kBadMessage, true, "the host's answer is of the wrong kind"}
-                               : outcome.error();
-                   const bool unreachable =
-                       error.kind == PeerErrorKind::kUnreachable || error.kind == PeerErrorKind::kLost;
-                   if (unreachable && m_hosts.on_failure(forward.host, now)) {
-                     hosts_changed("host " + forward.host.value() + " did not answer a forwarded request", now);
-                   }
-                   m_requests.on_forward_answered(forward.execution, forward.host, tl::unexpected(error), now);
-                 },
+                 [&](const ForwardCall& forward) { on_forward_answered(forward, std::move(outcome), now); },
                  [&](const ProbeCall& probe) {
-                   const auto* const reply = reached ? std::get_if<ProbeReply>(&*outcome) : nullptr;
-                   if (reply == nullptr) {
-                     if (m_hosts.on_failure(probe.host, now)) {
-                       hosts_changed("host " + probe.host.value() + " did not answer a probe", now);
-                     }
-                     return;
-                   }
-                   if (m_hosts.on_answer(reply->responder, now)) {
-                     hosts_changed("probe answer from " + probe.host.value(), now);
-                   }
-                   merge_records(reply->records, now);
-                   m_configuration_manager.on_peer_version(reply->responder.host, reply->configuration_version);
+                   on_probe_answered(probe.host, reached ? std::get_if<ProbeReply>(&*outcome) : nullptr, now);
                  },
                  [&](const SuspicionCall& suspicion) {
                    on_suspicion_reply(suspicion, reached ? std::get_if<SuspicionReply>(&*outcome) : nullptr, now);
@@ -254,10 +233,41 @@
                        fetch.host, reached ? std::get_if<ConfigurationReply>(&*outcome) : nullptr, now);
                  },
              },
-             node.mapped());
+             *purpose);
   process_notifications(now);
 }
 
+void EntryHost::on_forward_answered(const ForwardCall& forward, tl::expected<PeerResponse, PeerError> outcome,
+                                    TimePoint now) {
+  if (outcome.has_value() && std::holds_alternative<SubmitReply>(*outcome)) {
+    m_requests.on_forward_answered(forward.execution, forward.host, std::move(std::get<SubmitReply>(*outcome).outcome),
+                                   now);
+    return;
+  }
+  const PeerError error = outcome.has_value()
+                              ? PeerError{PeerErrorKind::kBadMessage, true, "the host's answer is of the wrong kind"}
+                              : outcome.error();
+  const bool unreachable = error.kind == PeerErrorKind::kUnreachable || error.kind == PeerErrorKind::kLost;
+  if (unreachable && m_hosts.on_failure(forward.host, now)) {
+    hosts_changed("host " + forward.host.value() + " did not answer a forwarded request", now);
+  }
+  m_requests.on_forward_answered(forward.execution, forward.host, tl::unexpected(error), now);
+}
+
+void EntryHost::on_probe_answered(const HostId& host, const ProbeReply* reply, TimePoint now) {
+  if (reply == nullptr) {
+    if (m_hosts.on_failure(host, now)) {
+      hosts_changed("host " + host.value() + " did not answer a probe", now);
+    }
+    return;
+  }
+  if (m_hosts.on_answer(reply->responder, now)) {
+    hosts_changed("probe answer from " + host.value(), now);
+  }
+  merge_records(reply->records, now);
+  m_configuration_manager.on_peer_version(reply->responder.host, reply->configuration_version);
+}
+
 void EntryHost::on_host_list(tl::expected<std::vector<HostRecord>, StoreError> outcome, TimePoint now) {
   if (!outcome.has_value()) {
     m_context.counters.count("host_list_failures");
@@ -312,12 +322,15 @@
   answer_caller(std::get<CallerRequestId>(origin), envelope, std::move(outcome), now);
 }
 
-bool EntryHost::forward_request(ExecutionId execution, const HostId& host, RequestEnvelope envelope, Duration timeout) {
+bool EntryHost::forward_request(ExecutionId execution, const HostId& host, RequestEnvelope envelope, Duration timeout,
+                                TimePoint now) {
   const HostRecord* const record = m_hosts.find(host);
   if (record == nullptr) {
     return false;
   }
-  call_peer(*record, SubmitRequest{std::move(envelope)}, timeout, ForwardCall{execution, host});
+  const auto call = m_context.ids.next<PeerCallId>();
+  m_peer_calls.add_forward(call, {execution, host}, now);
+  m_context.ports.peers.call(call, record->peer_endpoint, SubmitRequest{std::move(envelope)}, timeout);
   return true;
 }
 
@@ -428,28 +441,50 @@
 
 void EntryHost::call_peer(const HostRecord& peer, PeerRequest request, Duration timeout, CallPurpose purpose) {
   const auto call = m_context.ids.next<PeerCallId>();
-  m_peer_calls.emplace(call, std::move(purpose));
+  m_peer_calls.add(call, std::move(purpose));
   m_context.ports.peers.call(call, peer.peer_endpoint, std::move(request), timeout);
 }
 
 void EntryHost::probe_hosts(TimePoint now) {
   const std::size_t working = m_hosts.working_hosts().size();
   for (const ProbeTarget& target : m_hosts.on_tick(now)) {
-    const HostRecord* const record = m_hosts.find(target.host);
-    if (record == nullptr) {
-      continue;
+    if (const HostRecord* const record = m_hosts.find(target.host)) {
+      send_probe(*record, m_context.settings.host_table_timings.probe_timeout);
     }
-    std::vector<HostRecord> records = m_hosts.records_to_share();
-    // The target also gets its own record, so that it can correct it.
-    records.push_back(*record);
-    call_peer(*record, Probe{m_hosts.self(), m_configuration_manager.current().version, std::move(records)},
-              m_context.settings.host_table_timings.probe_timeout, ProbeCall{target.host});
   }
   if (m_hosts.working_hosts().size() != working) {
     hosts_changed("a suspected host was declared dead", now);
   }
 }
 
+void EntryHost::send_probe(const HostRecord& target, Duration timeout) {
+  std::vector<HostRecord> records = m_hosts.records_to_share();
+  // The target also gets its own record, so that it can correct it.
+  records.push_back(target);
+  call_peer(target, Probe{m_hosts.self(), m_configuration_manager.current().version, std::move(records)}, timeout,
+            ProbeCall{target.host});
+}
+
+void EntryHost::check_silent_hosts(TimePoint now) {
+  for (const HostId& host : m_peer_calls.silent_hosts(now)) {
+    const HostRecord* const record = m_hosts.find(host);
+    const bool is_lost = record == nullptr || record->state == HostState::kSuspect || record->state == HostState::kDead;
+    if (is_lost) {
+      give_up_forwards(host, now);
+    } else {
+      send_probe(*record, kSilenceProbeTimeout);
+    }
+  }
+}
+
+void EntryHost::give_up_forwards(const HostId& host, TimePoint now) {
+  for (const ExecutionId execution : m_peer_calls.take_forwards(host)) {
+    m_context.counters.count("forwards_to_silent_hosts");
+    m_requests.on_forward_answered(
+        execution, host, tl::unexpected(PeerError{PeerErrorKind::kLost, true, "the host has stopped answering"}), now);
+  }
+}
+
 void EntryHost::on_probe(PeerCallId call, const Probe& probe, TimePoint now) {
   if (m_hosts.merge(probe.sender, now)) {
     hosts_changed("probe from " + probe.sender.host.value(), now);
--- a/servers/host/entry_host.h
+++ b/servers/host/entry_host.h
@@ -3,13 +3,13 @@
 #include <map>
 #include <optional>
 #include <string>
-#include <variant>
 
 #include "core/session/session_token.h"
 #include "servers/configuration/configuration_manager.h"
 #include "servers/host/decision_log.h"
 #include "servers/host/group_directory.h"
 #include "servers/host/host_context.h"
+#include "servers/host/peer_call_table.h"
 #include "servers/host/planned_stop.h"
 #include "servers/host/request_service.h"
 #include "servers/membership/host_table.h"
@@ -88,27 +88,6 @@
   const LatencyHistogram& latencies() const { return m_latencies; }
 
  private:
-  /// A request that was forwarded to another host.
-  struct ForwardCall {
-    ExecutionId execution;
-    HostId host;
-  };
-  /// A liveness probe of another host.
-  struct ProbeCall {
-    HostId host;
-  };
-  /// A query to another owner of the group, whether it suspects the primary too.
-  struct SuspicionCall {
-    GroupId group;
-    Term term;
-    HostId host;
-  };
-  /// A request to another host for its configuration.
-  struct ConfigurationCall {
-    HostId host;
-  };
-  using CallPurpose = std::variant<ForwardCall, ProbeCall, SuspicionCall, ConfigurationCall>;
-
   /// The replies of the group's other owners to the queries about a suspected primary.
   struct SuspicionRound {
     Term term;
@@ -130,7 +109,8 @@
 
   void finish_request(const Origin& origin, const RequestEnvelope& envelope, RequestOutcome outcome,
                       TimePoint now) override;
-  bool forward_request(ExecutionId execution, const HostId& host, RequestEnvelope envelope, Duration timeout) override;
+  bool forward_request(ExecutionId execution, const HostId& host, RequestEnvelope envelope, Duration timeout,
+                       TimePoint now) override;
 
   void configuration_adopted(const Configuration& configuration, const std::string& source, TimePoint now) override;
   bool fetch_configuration(const HostId& host, ConfigurationVersion known) override;
@@ -144,7 +124,17 @@
   void send_suspicion_queries(const GroupId& group, const AskSuspicion& ask, TimePoint now);
   void on_suspicion_reply(const SuspicionCall& call, const SuspicionReply* reply, TimePoint now);
   void call_peer(const HostRecord& peer, PeerRequest request, Duration timeout, CallPurpose purpose);
+  void on_forward_answered(const ForwardCall& forward, tl::expected<PeerResponse, PeerError> outcome, TimePoint now);
+  /// Handles the answer to a probe; `reply` is null if there was none.
+  void on_probe_answered(const HostId& host, const ProbeReply* reply, TimePoint now);
   void probe_hosts(TimePoint now);
+  void send_probe(const HostRecord& target, Duration timeout);
+  /// Probes hosts that have stopped answering while forwarded requests wait for them. Once such a host is suspect, the
+  /// requests continue without it.
+  void check_silent_hosts(TimePoint now);
+  /// Ends the wait for the answers to all requests that were forwarded to `host`. Requests that may have run there get
+  /// their outcome from the database group.
+  void give_up_forwards(const HostId& host, TimePoint now);
   void on_probe(PeerCallId call, const Probe& probe, TimePoint now);
   void on_suspicion_query(PeerCallId call, const SuspicionQuery& query, TimePoint now);
   void on_configuration_fetch(PeerCallId call, const FetchConfiguration& fetch);
@@ -166,7 +156,7 @@
   LatencyHistogram m_latencies;
   std::map<CallerRequestId, PendingRequest> m_pending_requests;
   std::map<ServiceName, std::size_t> m_in_flight;
-  std::map<PeerCallId, CallPurpose> m_peer_calls;
+  PeerCallTable m_peer_calls;
   std::map<GroupId, SuspicionRound> m_suspicion_rounds;
   std::uint64_t m_last_request_number = 0;
   TimePoint m_next_probe_check;
--- a/servers/host/request_service.cc
+++ b/servers/host/request_service.cc
@@ -296,7 +296,7 @@
   envelope.remaining = remaining;
   execution.chart.fire(RequestEvent::kForward);
   m_context.counters.count("requests_forwarded");
-  if (!m_sink.forward_request(execution.id, host, std::move(envelope), execution.deadline - now)) {
+  if (!m_sink.forward_request(execution.id, host, std::move(envelope), execution.deadline - now, now)) {
     execution.excluded_hosts.insert(host);
     retry(execution, RetryReason::kOwnerUnreachable, false, now);
   }
--- a/servers/host/request_service.h
+++ b/servers/host/request_service.h
@@ -29,8 +29,8 @@
 
   /// Sends a request to another host; RequestService::on_forward_answered() is called with the result. Returns false,
   /// and does nothing, if the host is not known.
-  virtual bool forward_request(ExecutionId execution, const HostId& host, RequestEnvelope envelope,
-                               Duration timeout) = 0;
+  virtual bool forward_request(ExecutionId execution, const HostId& host, RequestEnvelope envelope, Duration timeout,
+                               TimePoint now) = 0;
 };
 
 /// Processes requests from their arrival to their answer: routing, execution at members, forwarding to other hosts,
--- a/servers/membership/host_table.cc
+++ b/servers/membership/host_table.cc
@@ -46,9 +46,9 @@
 std::vector<ProbeTarget> HostTable::on_tick(TimePoint now) {
   advance_suspicions(now);
   std::vector<ProbeTarget> due;
-  if (const std::optional<HostId> host_to_reprobe = std::exchange(m_host_to_reprobe, std::nullopt)) {
-    // In a large failure domain the random choice would take long to select the same host again.
-    if (const HostRecord* record = find(*host_to_reprobe)) {
+  // In a large failure domain the random choice would take long to select the same host again.
+  for (const HostId& host : std::exchange(m_hosts_to_reprobe, {})) {
+    if (const HostRecord* record = find(host)) {
       due.push_back({record->host, record->peer_endpoint});
     }
   }
@@ -96,7 +96,7 @@
     return false;
   }
   if (entry.failures < kFailuresUntilSuspect) {
-    m_host_to_reprobe = host;
+    m_hosts_to_reprobe.insert(host);
     return false;
   }
   entry.record.state = HostState::kSuspect;
--- a/servers/membership/host_table.h
+++ b/servers/membership/host_table.h
@@ -2,6 +2,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 #include "core/ports/peer_port.h"
@@ -103,8 +104,8 @@
   TimePoint m_next_probe;
   TimePoint m_next_remote_probe;
   HostId m_last_rotated_host;
-  // A host of which a first call has failed; the next on_tick() probes it again.
-  std::optional<HostId> m_host_to_reprobe;
+  // Hosts to which a first call has failed; the next on_tick() probes them again.
+  std::set<HostId> m_hosts_to_reprobe;
 };
 
 }  // namespace teaselrudder
--- a/tests/main/processes_test.cc
+++ b/tests/main/processes_test.cc
@@ -1,10 +1,13 @@
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
 #include <array>
 #include <atomic>
+#include <chrono>
 #include <memory>
 #include <mutex>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <thread>
 
 #include "tests/drivers/http/test_client.h"
@@ -24,6 +27,8 @@
 constexpr std::size_t kClients = 4;
 constexpr int kRequestsPerClient = 100;
 const std::array<std::string, kHosts> kDomains = {"toledo", "detroit", "cleveland"};
+/// Longest time for which a failover may interrupt writes.
+constexpr std::chrono::seconds kFailoverBound(7);
 const std::string kStatements = "/v1/services/rooms/statements";
 
 Json statement(const std::string& sql, const std::vector<std::string>& parameters) {
@@ -39,6 +44,7 @@
   CPPUNIT_TEST_SUITE(ProcessesTest);
   CPPUNIT_TEST(transaction_continues_through_other_daemons);
   CPPUNIT_TEST(killed_daemon_leaves_no_part_of_a_transaction);
+  CPPUNIT_TEST(writes_resume_after_a_frozen_owner_and_a_killed_primary);
   CPPUNIT_TEST(rolling_stop_under_load_cuts_off_no_request);
   CPPUNIT_TEST_SUITE_END();
 
@@ -101,6 +107,35 @@
     CPPUNIT_ASSERT_EQUAL(std::string(), read_value(other, ""));
   }
 
+  // Guards against writes that wait until their deadline for the frozen daemon of their failure domain that owns the
+  // group, after the primary was lost as well.
+  void writes_resume_after_a_frozen_owner_and_a_killed_primary() {
+    const std::string primary = write(0, "a").at("served_by");
+    const auto index =
+        static_cast<std::size_t>(std::find(kDomains.begin(), kDomains.end(), primary) - kDomains.begin());
+    ChildProcess second("teaselrudderd", daemon_arguments("second", primary, std::nullopt));
+    const std::uint16_t second_port = second.read_port("caller");
+    std::string owner;
+    while (owner != "second" && owner != name_of(index)) {
+      const TestResponse groups =
+          exchange_http(second.read_port("operator"), "POST", "/v1/commands", Json{{"command", "SHOW GROUPS"}}.dump());
+      owner = owner_in(groups.body);
+    }
+    const bool second_owns = owner == "second";
+    (second_owns ? second : *m_hosts.at(index)).send_signal(SIGSTOP);
+    m_members.at(index)->send_signal(SIGKILL);
+    const auto lost_at = std::chrono::steady_clock::now();
+    const std::string body = Json{{"statements", {append_statement("k", "b")}}}.dump();
+    const std::uint16_t port = second_owns ? caller_port(index) : second_port;
+    while (exchange_http(port, "POST", kStatements, body).status != 200) {
+      CPPUNIT_ASSERT(std::chrono::steady_clock::now() < lost_at + kFailoverBound);
+    }
+    const auto gap = std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now() - lost_at);
+    std::printf("writes resumed after %lld ms\n", static_cast<long long>(gap.count()));
+    CPPUNIT_ASSERT(gap < kFailoverBound);
+    m_hosts.at(index)->send_signal(SIGCONT);
+  }
+
   // Guards against a request that is interrupted, lost or executed twice while all hosts are replaced one by one.
   void rolling_stop_under_load_cuts_off_no_request() {
     std::vector<std::thread> clients;
@@ -132,18 +167,28 @@
   }
 
  private:
-  void start_host(std::size_t index) {
+  static std::string name_of(std::size_t index) { return "host" + std::to_string(index); }
+
+  // Returns the arguments of a daemon that knows the running ones, `left_out` excepted.
+  std::vector<std::string> daemon_arguments(const std::string& name, const std::string& domain,
+                                            std::optional<std::size_t> left_out) {
     std::string known;
     for (std::size_t other = 0; other < kHosts; ++other) {
-      if (other != index && m_hosts[other] != nullptr) {
+      if (other != left_out && m_hosts[other] != nullptr) {
         known += (known.empty() ? "" : ",") + ("127.0.0.1:" + std::to_string(m_hosts[other]->read_port("peer")));
       }
     }
-    auto host = std::make_unique<ChildProcess>(
-        "teaselrudderd",
-        std::vector<std::string>{"--host_id=host" + std::to_string(index), "--failure_domain=" + kDomains[index],
-                                 "--store_endpoints=127.0.0.1:" + std::to_string(m_store_port), "--log_level=error",
-                                 "--token_key=a key for tests only", "--static_hosts=" + known});
+    return {"--host_id=" + name,
+            "--failure_domain=" + domain,
+            "--store_endpoints=127.0.0.1:" + std::to_string(m_store_port),
+            "--log_level=error",
+            "--token_key=a key for tests only",
+            "--static_hosts=" + known};
+  }
+
+  void start_host(std::size_t index) {
+    auto host =
+        std::make_unique<ChildProcess>("teaselrudderd", daemon_arguments(name_of(index), kDomains[index], index));
     const std::uint16_t port = host->read_port("caller");
     m_hosts[index] = std::move(host);
     const std::lock_guard<std::mutex> lock(m_mutex);
@@ -168,6 +213,17 @@
     return Json::parse(response.body);
   }
 
+  // Returns the owner in the answer to SHOW GROUPS; empty if the daemon knows no group yet.
+  static std::string owner_in(const std::string& answer) {
+    const Json rows = Json::parse(answer).at("rows");
+    const bool known = !rows.empty() && rows.at(0).at("owner").is_string();
+    return known ? rows.at(0).at("owner").get<std::string>() : std::string();
+  }
+
+  Json write(std::size_t host, const std::string& marker) {
+    return request(host, kStatements, {{"statements", {append_statement("k", marker)}}});
+  }
+
   std::string begin(std::size_t host, const std::string& marker) {
     const Json begun =
         request(host, "/v1/services/rooms/transactions", {{"statements", {append_statement("k", marker)}}});
--- a/tests/servers/entry_host_test.cc
+++ b/tests/servers/entry_host_test.cc
@@ -14,6 +14,8 @@
 
 // Longest time that a test waits for the outcome of a request.
 constexpr Duration kOutcomeTimeout = std::chrono::seconds(12);
+// Longest time for which a lost primary or owner may interrupt writes.
+constexpr Duration kFailoverBound = std::chrono::seconds(7);
 
 class EntryHostTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(EntryHostTest);
@@ -26,6 +28,9 @@
   CPPUNIT_TEST(reading_transaction_on_a_replaced_primary_is_aborted);
   CPPUNIT_TEST(write_with_lost_answer_is_resolved_correctly);
   CPPUNIT_TEST(write_runs_once_if_its_owner_dies_after_it);
+  CPPUNIT_TEST(requests_continue_without_a_frozen_owner);
+  CPPUNIT_TEST(writes_resume_after_primary_and_owner_are_lost_together);
+  CPPUNIT_TEST(request_that_takes_long_stays_with_its_owner);
   CPPUNIT_TEST(same_request_id_through_two_hosts_runs_once);
   CPPUNIT_TEST(transaction_continues_through_another_host);
   CPPUNIT_TEST(transaction_of_a_dead_host_is_rolled_back);
@@ -148,6 +153,51 @@
     CPPUNIT_ASSERT_EQUAL(std::string("a"), m_world->stored(primary, "k"));
   }
 
+  // Guards against requests that wait until their deadline for a host that is frozen, and against a write that the
+  // host runs when it continues, although its caller was told that it did not run.
+  void requests_continue_without_a_frozen_owner() {
+    const std::size_t owner = owner_in_first_domain();
+    const std::size_t sender = 1 - owner;
+    m_world->pause_host(owner, std::chrono::seconds(20));
+    const TimePoint paused_at = m_world->now();
+    const std::size_t read = m_world->submit(sender, HostWorld::read_request("k", Freshness::kFresh));
+    const std::size_t write = m_world->submit(sender, HostWorld::write_request("k", "a"));
+    CPPUNIT_ASSERT(wait_for(read).has_value());
+    const CallerOutcome outcome = wait_for(write);
+    CPPUNIT_ASSERT(m_world->now() - paused_at < kFailoverBound);
+    CPPUNIT_ASSERT_MESSAGE(describe(outcome), outcome.has_value() || outcome.error().refusal.ran != Ran::kUnknown);
+    succeed(sender, HostWorld::write_request("k", "b"));
+    CPPUNIT_ASSERT(m_world->now() - paused_at < kFailoverBound);
+    m_world->run_for(std::chrono::seconds(25));
+    const bool ran = outcome.has_value() || outcome.error().refusal.ran == Ran::kYes;
+    CPPUNIT_ASSERT_EQUAL(std::string(ran ? "ab" : "b"), m_world->stored(m_world->primary().value(), "k"));
+  }
+
+  // Guards against a failover that waits for the frozen host that monitored the primary.
+  void writes_resume_after_primary_and_owner_are_lost_together() {
+    const std::size_t owner = owner_in_first_domain();
+    const std::size_t sender = 1 - owner;
+    m_world->pause_host(owner, std::chrono::seconds(20));
+    m_world->set_member_up(m_world->primary().value(), false);
+    const TimePoint lost_at = m_world->now();
+    bool served = false;
+    while (!served) {
+      served = wait_for(m_world->submit(sender, HostWorld::write_request("k", "a"))).has_value();
+      CPPUNIT_ASSERT(m_world->now() - lost_at < kFailoverBound);
+    }
+  }
+
+  // Guards against a host that is taken for frozen because a request that it runs takes long.
+  void request_that_takes_long_stays_with_its_owner() {
+    const std::size_t owner = owner_in_first_domain();
+    const std::size_t sender = 1 - owner;
+    m_world->set_service_time(std::chrono::seconds(2));
+    succeed(sender, HostWorld::write_request("k", "a"));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, m_world->counters(sender).value("forwards_to_silent_hosts"));
+    CPPUNIT_ASSERT(m_world->host(sender).hosts().find(m_world->host(owner).hosts().self().host)->state ==
+                   HostState::kAlive);
+  }
+
   // Guards against a read-only transaction that commits although its data is outdated, or whose commit is routed like a
   // new request, after the primary was replaced.
   void reading_transaction_on_a_replaced_primary_is_aborted() {
@@ -355,6 +405,12 @@
     return *m_world->outcome(number);
   }
 
+  // Returns the index of the host that owns the group in the first failure domain; its hosts are 0 and 1.
+  std::size_t owner_in_first_domain() {
+    const auto owner = m_world->host(0).groups().owner_of(GroupId("g"), FailureDomainId("d0"));
+    return owner == m_world->host(0).hosts().self().host ? 0 : 1;
+  }
+
   CallerAnswer succeed(std::size_t host, const Request& request) {
     const CallerOutcome outcome = wait_for(m_world->submit(host, request));
     CPPUNIT_ASSERT_MESSAGE(describe(outcome), outcome.has_value());
