Let hosts without the failover duty wait longer for changes in the store

Cause: every host watches the store with calls that end after 1.2 s without a change, and every call is paid for. Ruled out: the long wait for every host, since the holder of the failover duty has to know that its list of members is current; fewer, relaying hosts, which is the larger step and still to come. Change: the wait follows from the bound within which a configuration has to be in force (bounds.config_apply_ms of the settings, 3 s if missing): what remains of it after a silent connection was noticed and replaced, shortened at random by up to a fifth. At 3 s it is 1.2 s as before, at 6 s 4.2 s. The holder of the duty keeps 1.2 s, and asks at once when it becomes the holder. Reports say that the store is reached if any call was answered recently, renewals included, so the holder notices an outage for all hosts as soon as before. Tests: StoreViewTest; new_duty_holder_with_long_watches_replaces_a_lost_primary_in_time.

--- a/servers/catalogue/store_view.cc
+++ b/servers/catalogue/store_view.cc
@@ -13,6 +13,8 @@
 
 /// Time without an answer after which the store counts as unreachable: entries may have expired from then on.
 constexpr Duration kUnreachableAfter = std::chrono::milliseconds(600);
+/// Wait of a watch call that asks only for the changes so far. Zero is not a valid wait.
+constexpr Duration kNoWait = std::chrono::milliseconds(1);
 
 }  // namespace
 
@@ -22,15 +24,28 @@
 
 void StoreView::on_tick(TimePoint now) {
   if (!m_call.has_value() && now >= m_next_attempt) {
-    start_call(now);
+    start_call();
+  }
+}
+
+void StoreView::set_watch_wait(Duration wait, TimePoint now) {
+  const bool is_shorter = wait < m_watch_wait;
+  m_watch_wait = wait;
+  if (is_shorter && m_revision.has_value() && m_call.has_value()) {
+    // The answer to the running call would come too late, so it is not awaited.
+    m_call.reset();
+    m_asks_at_once = true;
+    m_next_attempt = now;
   }
 }
 
 TimePoint StoreView::next_wakeup() const { return m_call.has_value() ? TimePoint::max() : m_next_attempt; }
 
-bool StoreView::is_current(TimePoint now) const { return m_listed_once && now < m_answered_at + kMaxAnswerAge; }
+bool StoreView::is_current(TimePoint now) const {
+  return m_listed_once && now < m_answered_at + m_watch_wait + kAnswerMargin;
+}
 
-void StoreView::start_call(TimePoint /*now*/) {
+void StoreView::start_call() {
   if (!m_revision.has_value()) {
     m_list_revision.reset();
     m_listed_members.clear();
@@ -40,7 +55,9 @@
   }
   m_call = StoreCallId(m_next_call++);
   m_counters.count("store_watches");
-  m_store.watch(*m_call, *m_revision, kWatchWait, *this);
+  const double jitter = m_watch_wait > kMinWatchWait ? kWatchWaitJitter * m_random.next_double() : 0;
+  const auto wait = std::chrono::duration_cast<Duration>(m_watch_wait * (1 - jitter));
+  m_store.watch(*m_call, *m_revision, std::exchange(m_asks_at_once, false) ? kNoWait : wait, *this);
 }
 
 void StoreView::list_page(const std::string& after) {
--- a/servers/catalogue/store_view.h
+++ b/servers/catalogue/store_view.h
@@ -38,11 +38,17 @@
 /// changes since the last known revision, the store is listed again.
 class StoreView final : public CoordinationEvents {
  public:
-  /// Longest time that one watch call waits for a change. Changes have to be in force within 3 s of their
-  /// acknowledgement, and this limits how long a connection that stopped answering can delay them.
-  static constexpr Duration kWatchWait = std::chrono::milliseconds(1200);
-  /// Age of the store's last answer above which the known contents no longer count as current.
-  static constexpr Duration kMaxAnswerAge = std::chrono::milliseconds(2200);
+  /// Bounds of the time that one watch call waits for a change. Every call is paid for, also one that ends without a
+  /// change.
+  static constexpr Duration kMinWatchWait = std::chrono::milliseconds(1200);
+  static constexpr Duration kMaxWatchWait = std::chrono::seconds(8);
+  /// Time from the end of a watch call's wait on a connection that stopped answering until the changes are in force:
+  /// the call's timeout, and a call on a new connection.
+  static constexpr Duration kSilentWatchRecovery = std::chrono::milliseconds(1800);
+  /// Waits are shortened at random by up to this percentage, so that not all hosts call at the same time.
+  static constexpr double kWatchWaitJitter = 0.2;
+  /// Time after the end of a watch call's wait above which the known contents no longer count as current.
+  static constexpr Duration kAnswerMargin = std::chrono::seconds(1);
   /// Time that owners of entries get to register again after the store became reachable, as their entries may have
   /// expired in the meantime.
   static constexpr Duration kReregistrationTime = std::chrono::milliseconds(2500);
@@ -64,6 +70,14 @@
     m_watch_delay = std::min(kMaxWatchDelay, static_cast<std::int64_t>(hosts) * kWatchDelayPerHost);
   }
 
+  /// Returns the wait with which changes are in force within `bound`, even if the connection has stopped answering.
+  static Duration watch_wait_for(Duration bound) {
+    return std::clamp(bound - kSilentWatchRecovery, kMinWatchWait, kMaxWatchWait);
+  }
+
+  /// Sets the longest time that a watch call waits. If it becomes shorter, the store is asked at once.
+  void set_watch_wait(Duration wait, TimePoint now);
+
   /// Starts the next call to the store if none is running and the delay has passed.
   void on_tick(TimePoint now);
   /// Returns when on_tick() is due next; TimePoint::max() while a call is running.
@@ -71,14 +85,18 @@
 
   /// Returns true if the whole store has been listed at least once.
   bool is_complete() const { return m_listed_once; }
-  /// Returns true if the whole store has been listed and its last answer is not older than kMaxAnswerAge.
+  /// Returns true if the whole store has been listed and no change can be missing that is older than the wait of a
+  /// watch call and kAnswerMargin.
   bool is_current(TimePoint now) const;
 
+  /// Returns when the store last answered.
+  TimePoint answered_at() const { return m_answered_at; }
+
   void on_coordination_result(StoreCallId call, tl::expected<CoordinationResult, CoordinationError> outcome,
                               TimePoint now) override;
 
  private:
-  void start_call(TimePoint now);
+  void start_call();
   void list_page(const std::string& after);
   void on_page(const StorePage& page, TimePoint now);
   void finish_list(TimePoint now);
@@ -105,6 +123,9 @@
   std::set<MemberId> m_members;
   std::map<std::string, StoreRevision> m_records;
   Duration m_watch_delay{0};
+  Duration m_watch_wait = kMinWatchWait;
+  /// The next watch call returns without a wait.
+  bool m_asks_at_once = false;
   std::uint32_t m_failures = 0;
   TimePoint m_next_attempt;
   TimePoint m_answered_at;
--- a/servers/session_host/session_host.cc
+++ b/servers/session_host/session_host.cc
@@ -75,6 +75,10 @@
     m_duty_suspended_until = now + kDutySuspensionAfterPause;
   }
   m_last_tick = now;
+  // The holder of the duty replaces primaries and has to know all members of a group.
+  m_view.set_watch_wait(m_duty.held_revision().has_value() ? StoreView::kMinWatchWait
+                                                           : StoreView::watch_wait_for(m_settings.configuration_bound),
+                        now);
   m_view.on_tick(now);
   m_sessions.set_routing_current(m_view.is_current(now), now);
   m_record.on_tick(m_view.is_complete(), now);
@@ -118,6 +122,11 @@
   return FencingToken(static_cast<std::uint64_t>(revision->value()));
 }
 
+bool SessionHost::reaches_store(TimePoint now) const {
+  const TimePoint answered_at = std::max(m_view.answered_at(), m_record.renewed_at());
+  return answered_at != TimePoint() && now < answered_at + kMaxStoreSilence;
+}
+
 bool SessionHost::in_minority(TimePoint now) const {
   return m_ring.reaches_minority([this, now](const HostId& host) { return m_board.has_fresh_report(host, now); });
 }
@@ -355,7 +364,7 @@
   const std::optional<FencingToken> token = duty_token(now);
   report.duty_token = token.has_value() ? token->value() : 0;
   report.newest_duty_token = m_newest_duty_token;
-  report.store_current = m_view.is_current(now);
+  report.store_current = reaches_store(now);
   return report;
 }
 
@@ -411,6 +420,7 @@
   gauge("configuration_version", static_cast<std::int64_t>(m_sessions.version().value()));
   gauge("ready", is_ready() ? 1 : 0);
   gauge("holds_failover_duty", duty_token(now).has_value() ? 1 : 0);
+  gauge("store_reached", reaches_store(now) ? 1 : 0);
   gauge("store_current", m_view.is_current(now) ? 1 : 0);
   gauge("known_hosts", static_cast<std::int64_t>(m_fleet_size));
   for (const auto& [id, group] : m_sessions.executor().groups()) {
--- a/servers/session_host/session_host.h
+++ b/servers/session_host/session_host.h
@@ -30,6 +30,8 @@
   Duration stop_grace = std::chrono::seconds(6);
   /// Minimum time to live that the store grants for a lease.
   Duration min_time_to_live = std::chrono::seconds(1);
+  /// Time within which a new configuration has to be in force on every host.
+  Duration configuration_bound = std::chrono::seconds(3);
   std::uint64_t random_seed = 0;
   /// True if the platform rejects a promotion whose fencing token is lower than one used before.
   bool promotion_tokens_are_checked = true;
@@ -78,6 +80,9 @@
   /// Time for which a host still gets reports after its record disappeared from the store. A host that was cut off
   /// learns from these reports that the network works again, before it can write its record again.
   static constexpr Duration kUnlistedHostRetention = std::chrono::seconds(30);
+  /// Time without any answer of the store after which this host reports that it does not reach it: one interval of the
+  /// renewals of its record, and the time that an answer may take.
+  static constexpr Duration kMaxStoreSilence = kRecordTimeToLive / 3 + std::chrono::milliseconds(600);
   /// Time between two ticks from which on the process is assumed to have been paused.
   static constexpr Duration kProcessPauseThreshold = std::chrono::milliseconds(1200);
   /// Time after such a pause in which this host does not act on the failover duty unless its lease is renewed.
@@ -120,6 +125,8 @@
   void on_leader_announced(const GroupId& group, const GroupLeader& leader, TimePoint now) override;
 
   std::optional<FencingToken> duty_token(TimePoint now) const;
+  /// Returns true if the store has answered this host recently.
+  bool reaches_store(TimePoint now) const;
   /// Returns true if this host receives reports from less than half of the fleet, counting itself.
   bool in_minority(TimePoint now) const;
   /// Returns the share of the fleet that this host hears, hosts without a record included.
--- a/tests/model/session_world.cc
+++ b/tests/model/session_world.cc
@@ -90,8 +90,9 @@
   std::size_t m_host;
 };
 
-SessionWorld::SessionWorld(std::size_t hosts, std::uint64_t seed)
-    : m_random(seed),
+SessionWorld::SessionWorld(std::size_t hosts, std::uint64_t seed, Duration configuration_bound)
+    : m_configuration_bound(configuration_bound),
+      m_random(seed),
       m_members(m_events, GroupId("ledger"), 3),
       m_store(m_events),
       m_checker(m_members, kMaxStaleness) {
@@ -149,6 +150,7 @@
   settings.evidence_endpoint = {"10.1.0.1", static_cast<std::uint16_t>(index + 1)};
   settings.incarnation = m_random();
   settings.random_seed = m_random();
+  settings.configuration_bound = m_configuration_bound;
   host.host = std::make_unique<SessionHost>(settings,
                                             SessionHostPorts{*host.ports, *host.links, read_model_report, *host.store,
                                                              m_members, *host.ports, host.counters, *host.ports},
--- a/tests/model/session_world.h
+++ b/tests/model/session_world.h
@@ -26,7 +26,9 @@
   static inline const DatabaseName kOwnReads{"own"};
   static constexpr Duration kMaxStaleness = std::chrono::milliseconds(1500);
 
-  explicit SessionWorld(std::size_t hosts, std::uint64_t seed = 1);
+  /// `configuration_bound` is the hosts' setting of the same name.
+  explicit SessionWorld(std::size_t hosts, std::uint64_t seed = 1,
+                        Duration configuration_bound = std::chrono::seconds(3));
   ~SessionWorld();
 
   /// A caller's session at one host.
@@ -122,6 +124,7 @@
   void on_reply(std::size_t host, SessionId session, const StatementReply& reply);
 
   EventQueue m_events;
+  Duration m_configuration_bound;
   std::mt19937_64 m_random;
   ReplicatedMembers m_members;
   CoordinationModel m_store;
--- a/tests/platform/node_settings_test.cc
+++ b/tests/platform/node_settings_test.cc
@@ -35,6 +35,9 @@
     CPPUNIT_ASSERT(settings->stop_grace == std::chrono::seconds(6));
     CPPUNIT_ASSERT(settings->promotion_tokens_are_checked);
     CPPUNIT_ASSERT(!parse_node_settings(replaced("  require_fence: true\n", ""))->promotion_tokens_are_checked);
+    CPPUNIT_ASSERT(settings->configuration_bound == std::chrono::seconds(3));
+    const auto larger = parse_node_settings(replaced("grace_s: 6", "grace_s: 6\n  config_apply_ms: 6000"));
+    CPPUNIT_ASSERT(larger->configuration_bound == std::chrono::seconds(6));
     CPPUNIT_ASSERT(to_text(*settings).find("stop_grace_ms=6000\n") != std::string::npos);
   }
 
@@ -46,6 +49,7 @@
       CPPUNIT_ASSERT_MESSAGE(settings.error(), settings.error().find(field) != std::string::npos);
     };
     expect_error(replaced("grace_s: 6", "grace_s: 0"), "bounds.grace_s");
+    expect_error(replaced("grace_s: 6", "grace_s: 6\n  config_apply_ms: soon"), "bounds.config_apply_ms");
     expect_error(replaced("require_fence: true", "require_fence: perhaps"), "bounds.require_fence");
     expect_error(replaced("10.200.1.7:8783", "store"), "platform.addr");
     expect_error(replaced("node: \"front-1\"\n", ""), "node");
--- a/tests/servers/sessions/session_host_partition_test.cc
+++ b/tests/servers/sessions/session_host_partition_test.cc
@@ -25,6 +25,7 @@
   CPPUNIT_TEST(replaced_primary_that_one_host_still_reaches_serves_no_stale_reads);
   CPPUNIT_TEST(host_that_alone_reaches_the_store_does_not_act_for_the_fleet);
   CPPUNIT_TEST(primary_lost_together_with_the_duty_holder_is_replaced_in_time);
+  CPPUNIT_TEST(new_duty_holder_with_long_watches_replaces_a_lost_primary_in_time);
   CPPUNIT_TEST(statements_succeed_with_more_hosts_than_connections);
   CPPUNIT_TEST(hosts_keep_idle_connections_if_the_limit_allows_one_each);
   CPPUNIT_TEST(restarted_hosts_can_connect_while_their_old_connections_remain);
@@ -212,7 +213,17 @@
   // Guards against a new holder of the failover duty that waits and probes for seconds although the other hosts have
   // already reported that the primary does not answer. The replacement then took 3.3 s after the loss instead of 2 s.
   void primary_lost_together_with_the_duty_holder_is_replaced_in_time() {
-    SessionWorld world(5);
+    expect_replaced_in_time(std::chrono::seconds(3));
+  }
+
+  // Guards against a new holder of the failover duty that waits for the end of a long watch call before it knows that
+  // its list of members is current.
+  void new_duty_holder_with_long_watches_replaces_a_lost_primary_in_time() {
+    expect_replaced_in_time(std::chrono::seconds(10));
+  }
+
+  static void expect_replaced_in_time(Duration configuration_bound) {
+    SessionWorld world(5, 1, configuration_bound);
     std::vector<std::size_t> callers;
     std::size_t duty_holder = 0;
     for (std::size_t host = 0; host < 5; ++host) {
