--- a/tests/model/session_world.cc
+++ b/tests/model/session_world.cc
@@ -90,12 +90,14 @@
   std::size_t m_host;
 };
 
-SessionWorld::SessionWorld(std::size_t hosts, std::uint64_t seed, Duration configuration_bound)
-    : m_configuration_bound(configuration_bound),
+SessionWorld::SessionWorld(std::size_t hosts, std::uint64_t seed, SessionWorldOptions options)
+    : m_options(options),
       m_random(seed),
       m_members(m_events, GroupId("ledger"), 3),
       m_store(m_events),
       m_checker(m_members, kMaxStaleness) {
+  m_members.replaced_primary_continues = !m_options.fenced;
+  m_members.checks_tokens = m_options.fenced;
   m_members.is_blocked_from_host = [this](std::size_t links, std::size_t member) {
     const std::size_t host = links / kProcessesPerHost;
     const bool is_cut = m_isolated_hosts.contains(host) != m_isolated_members.contains(member);
@@ -150,7 +152,8 @@
   settings.evidence_endpoint = {"10.1.0.1", static_cast<std::uint16_t>(index + 1)};
   settings.incarnation = m_random();
   settings.random_seed = m_random();
-  settings.configuration_bound = m_configuration_bound;
+  settings.configuration_bound = m_options.configuration_bound;
+  settings.promotion_tokens_are_checked = m_options.fenced;
   host.host = std::make_unique<SessionHost>(settings,
                                             SessionHostPorts{*host.ports, *host.links, read_model_report, *host.store,
                                                              m_members, *host.ports, host.counters, *host.ports},
--- a/tests/model/session_world.h
+++ b/tests/model/session_world.h
@@ -15,6 +15,15 @@
 
 namespace teaselrudder::model {
 
+/// Settings of a SessionWorld.
+struct SessionWorldOptions {
+  /// The hosts' setting of the same name.
+  Duration configuration_bound = std::chrono::seconds(3);
+  /// False if neither the members nor the platform fence: a replaced primary continues until it is told to step down,
+  /// and promotion requests with outdated tokens are carried out.
+  bool fenced = true;
+};
+
 /// Simulation of session hosts, one group of members, a store and callers in virtual time. A checker verifies that
 /// each caller gets answers as on a connection of its own to the primary, apart from the staleness that its database
 /// allows.
@@ -26,9 +35,7 @@
   static inline const DatabaseName kOwnReads{"own"};
   static constexpr Duration kMaxStaleness = std::chrono::milliseconds(1500);
 
-  /// `configuration_bound` is the hosts' setting of the same name.
-  explicit SessionWorld(std::size_t hosts, std::uint64_t seed = 1,
-                        Duration configuration_bound = std::chrono::seconds(3));
+  explicit SessionWorld(std::size_t hosts, std::uint64_t seed = 1, SessionWorldOptions options = {});
   ~SessionWorld();
 
   /// A caller's session at one host.
@@ -124,7 +131,7 @@
   void on_reply(std::size_t host, SessionId session, const StatementReply& reply);
 
   EventQueue m_events;
-  Duration m_configuration_bound;
+  SessionWorldOptions m_options;
   std::mt19937_64 m_random;
   ReplicatedMembers m_members;
   CoordinationModel m_store;
--- a/tests/servers/sessions/session_host_partition_test.cc
+++ b/tests/servers/sessions/session_host_partition_test.cc
@@ -223,7 +223,7 @@
   }
 
   static void expect_replaced_in_time(Duration configuration_bound) {
-    SessionWorld world(5, 1, configuration_bound);
+    SessionWorld world(5, 1, {.configuration_bound = configuration_bound});
     std::vector<std::size_t> callers;
     std::size_t duty_holder = 0;
     for (std::size_t host = 0; host < 5; ++host) {
--- a/tests/servers/sessions/session_host_random_test.cc
+++ b/tests/servers/sessions/session_host_random_test.cc
@@ -31,10 +31,8 @@
 /// fenced, hosts and members are also partitioned.
 class RandomRun {
  public:
-  RandomRun(std::uint64_t seed, Outside outside) : m_random(seed), m_world(kHosts, seed), m_outside(outside) {
-    m_world.members().replaced_primary_continues = outside == Outside::kUnfenced;
-    m_world.members().checks_tokens = outside == Outside::kFenced;
-  }
+  RandomRun(std::uint64_t seed, Outside outside)
+      : m_random(seed), m_world(kHosts, seed, {.fenced = outside == Outside::kFenced}), m_outside(outside) {}
 
   std::vector<std::string> execute() {
     for (int step = 0; step < kSteps; ++step) {
