Take the watch calls as proof of the store while no record is held

Cause: a host without a record renews nothing, so with long watch calls it reported the store as away although it reached it and could have taken the failover duty. Change: such a host reports what its watch calls show.

--- a/servers/session_host/session_host.cc
+++ b/servers/session_host/session_host.cc
@@ -123,6 +123,10 @@
 }
 
 bool SessionHost::reaches_store(TimePoint now) const {
+  if (!m_record.held_revision().has_value()) {
+    // Nothing is renewed, so only the answers to the watch calls show that the store is reached.
+    return m_view.is_current(now);
+  }
   const TimePoint answered_at = std::max(m_view.answered_at(), m_record.renewed_at());
   return answered_at != TimePoint() && now < answered_at + kMaxStoreSilence;
 }
