--- a/servers/catalogue/store_view.h
+++ b/servers/catalogue/store_view.h
@@ -45,7 +45,7 @@
   /// Time from the end of a watch call's wait on a connection that stopped answering until the changes are in force:
   /// the call's timeout, and a call on a new connection.
   static constexpr Duration kSilentWatchRecovery = std::chrono::milliseconds(1800);
-  /// Waits are shortened at random by up to this percentage, so that not all hosts call at the same time.
+  /// Waits are shortened at random by up to this fraction, so that not all hosts call at the same time.
   static constexpr double kWatchWaitJitter = 0.2;
   /// Time after the end of a watch call's wait above which the known contents no longer count as current.
   static constexpr Duration kAnswerMargin = std::chrono::seconds(1);
