--- a/tests/main/processes_test.cc
+++ b/tests/main/processes_test.cc
@@ -131,7 +131,7 @@
       CPPUNIT_ASSERT(std::chrono::steady_clock::now() < lost_at + kFailoverBound);
     }
     const auto gap = std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now() - lost_at);
-    std::printf("writes resumed after %lld ms\n", static_cast<long long>(gap.count()));
+    std::printf("writes resumed after %s ms\n", std::to_string(gap.count()).c_str());
     CPPUNIT_ASSERT(gap < kFailoverBound);
     m_hosts.at(index)->send_signal(SIGCONT);
   }
--- a/tests/measure/session_failover_gap_main.cc
+++ b/tests/measure/session_failover_gap_main.cc
@@ -3,7 +3,7 @@
 
 #include <algorithm>
 #include <cstdio>
-#include <optional>
+#include <string>
 #include <vector>
 
 #include "tests/model/session_world.h"
@@ -111,12 +111,11 @@
   std::sort(result.gaps.begin(), result.gaps.end());
   const auto at = [&result](std::size_t percent) {
     const std::size_t index = std::min(result.gaps.size() - 1, result.gaps.size() * percent / 100);
-    return static_cast<long long>(to_milliseconds(result.gaps[index]));
+    return std::to_string(to_milliseconds(result.gaps[index]));
   };
-  std::printf("%-26s %8lld %8lld %8lld %12llu %12llu %12llu %8zu\n", variant.name, at(50), at(99), at(100),
-              static_cast<unsigned long long>(result.promotions_before),
-              static_cast<unsigned long long>(result.promotions),
-              static_cast<unsigned long long>(result.lease_requests), result.violations);
+  std::printf("%-26s %8s %8s %8s %12s %12s %12s %8zu\n", variant.name, at(50).c_str(), at(99).c_str(), at(100).c_str(),
+              std::to_string(result.promotions_before).c_str(), std::to_string(result.promotions).c_str(),
+              std::to_string(result.lease_requests).c_str(), result.violations);
 }
 
 }  // namespace
@@ -124,7 +123,6 @@
 }  // namespace teaselrudder::model
 
 int main(int argc, char** argv) {
-  using namespace teaselrudder::model;
   gflags::ParseCommandLineFlags(&argc, &argv, true);
   if (FLAGS_runs == 0 || FLAGS_hosts == 0) {
     std::fprintf(stderr, "runs and hosts must be positive\n");
@@ -133,12 +131,12 @@
   std::printf("gap in ms of virtual time, %u runs each, %u hosts\n", FLAGS_runs, FLAGS_hosts);
   std::printf("%-26s %8s %8s %8s %12s %12s %12s %8s\n", "loss", "median", "p99", "worst", "prom. before", "promotions",
               "lease req.", "broken");
-  for (const Variant& variant : kVariants) {
-    Result result;
+  for (const teaselrudder::model::Variant& variant : teaselrudder::model::kVariants) {
+    teaselrudder::model::Result result;
     for (std::uint64_t seed = FLAGS_seed; seed < FLAGS_seed + FLAGS_runs; ++seed) {
-      run(variant, seed, result);
+      teaselrudder::model::run(variant, seed, result);
     }
-    print(variant, std::move(result));
+    teaselrudder::model::print(variant, std::move(result));
   }
   return 0;
 }
