Log and count what a host knows of the store's history

The logs could not tell apart the hypotheses of the incident with a store restored from an older copy: they showed neither the era in which the store answers, nor the revision from which a host follows it again, nor that a change was dropped as old.

New events: store_restored, store_listed, older_record_ignored; store_regained names the revision. New metrics: store_era, store_revision, store_restorations, store_answers_of_former_eras, store_records_older_ignored. No decision depends on them yet. The model of the store learns to keep a copy and to be restored from it.

--- a/core/ids.h
+++ b/core/ids.h
@@ -42,6 +42,10 @@
 /// Revision of the platform's store.
 using StoreRevision = StrongType<struct StoreRevisionTag, std::int64_t>;
 
+/// Number of the history that the platform's store serves; zero if it is not known. It rises each time the store is
+/// restored from an older copy. Revisions and leases of one era mean nothing in another.
+using StoreEra = StrongType<struct StoreEraTag, std::uint64_t>;
+
 /// A numeric IP address and a port.
 struct Endpoint {
   std::string ip;
--- a/core/ports/coordination_port.h
+++ b/core/ports/coordination_port.h
@@ -37,6 +37,8 @@
   /// The new value; nullopt if the key was removed.
   std::optional<std::string> value;
   StoreRevision revision;
+  /// Lease under which the key was written; zero if there is none.
+  LeaseId lease{};
 };
 
 /// A change reported by the store.
@@ -95,6 +97,18 @@
                                       TimePoint now) = 0;
 };
 
+/// Receives the era of each answer of the store.
+class StoreEraListener {
+ public:
+  StoreEraListener() = default;
+  StoreEraListener(const StoreEraListener&) = delete;
+  StoreEraListener& operator=(const StoreEraListener&) = delete;
+  virtual ~StoreEraListener() = default;
+
+  /// The store answered a call, successfully or not, in `era`. Called before the receiver of the call gets the result.
+  virtual void on_store_era(StoreEra era, TimePoint now) = 0;
+};
+
 /// The platform's key-value store. It holds the operator's configuration, the members' entries, and this system's own
 /// records, which are written under leases. Each call delivers exactly one result to its receiver, never before the
 /// call returns.
@@ -105,6 +119,9 @@
   CoordinationPort& operator=(const CoordinationPort&) = delete;
   virtual ~CoordinationPort() = default;
 
+  /// Sets the receiver of the eras, which must outlive the calls. Answers without an era are not reported to it.
+  virtual void set_era_listener(StoreEraListener& listener) = 0;
+
   /// Reads one page of all keys, in key order, starting after the key `after`; an empty `after` reads the first page.
   virtual void list(StoreCallId call, const std::string& after, CoordinationEvents& receiver) = 0;
 
--- a/drivers/store/http_client.cc
+++ b/drivers/store/http_client.cc
@@ -1,7 +1,9 @@
 #include "drivers/store/http_client.h"
 
+#include <h2o.h>
 #include <h2o/http1client.h>
 
+#include <span>
 #include <utility>
 
 #include "drivers/net/socket_address.h"
@@ -73,14 +75,17 @@
   }
 
   static h2o_http1client_body_cb on_head(h2o_http1client_t* client, const char* error, int /*minor_version*/,
-                                         int status, h2o_iovec_t /*message*/, st_h2o_header_t* /*headers*/,
-                                         std::size_t /*header_count*/, int /*head_length*/) {
+                                         int status, h2o_iovec_t /*message*/, st_h2o_header_t* headers,
+                                         std::size_t header_count, int /*head_length*/) {
     Exchange& exchange = self(client);
     if (error != nullptr && error != h2o_http1client_error_is_eos) {
       exchange.fail(error);
       return nullptr;
     }
     exchange.m_events.on_http_status(status);
+    for (const h2o_header_t& header : std::span(headers, header_count)) {
+      exchange.m_events.on_http_header({header.name->base, header.name->len}, {header.value.base, header.value.len});
+    }
     if (error == nullptr) {
       return on_body;
     }
--- a/drivers/store/http_client.h
+++ b/drivers/store/http_client.h
@@ -24,6 +24,8 @@
   /// The connection is established. From now on the request may reach the server.
   virtual void on_http_connected() = 0;
   virtual void on_http_status(int status) = 0;
+  /// A header field of the response, after its status. `name` is in lower case.
+  virtual void on_http_header(std::string_view name, std::string_view value) = 0;
   virtual void on_http_body(std::string_view bytes) = 0;
   /// The response is complete. No further event follows.
   virtual void on_http_end() = 0;
--- a/drivers/store/store_operation.h
+++ b/drivers/store/store_operation.h
@@ -64,6 +64,7 @@
  private:
   void on_http_connected() override;
   void on_http_status(int status) override;
+  void on_http_header(std::string_view /*name*/, std::string_view /*value*/) override {}
   void on_http_body(std::string_view bytes) override;
   void on_http_end() override;
   void on_http_failed(std::string_view reason) override;
--- a/servers/catalogue/leased_record.cc
+++ b/servers/catalogue/leased_record.cc
@@ -27,6 +27,10 @@
 
 void LeasedRecord::on_record(const RecordChanged& record, TimePoint now) {
   if (m_stored_revision.has_value() && record.revision < *m_stored_revision) {
+    m_counters.count("store_records_older_ignored");
+    m_log.log_state_change("older_record_ignored", {{"key", m_key},
+                                                    {"revision", std::to_string(record.revision.value())},
+                                                    {"known", std::to_string(m_stored_revision->value())}});
     return;
   }
   m_stored_revision = record.value.has_value() ? std::optional<StoreRevision>(record.revision) : std::nullopt;
--- a/servers/catalogue/store_view.cc
+++ b/servers/catalogue/store_view.cc
@@ -115,6 +115,9 @@
 void StoreView::finish_list(TimePoint now) {
   m_revision = m_list_revision;
   m_listed_once = true;
+  m_log.log_state_change("store_listed", {{"revision", std::to_string(m_revision->value())},
+                                          {"members", std::to_string(m_listed_members.size())},
+                                          {"records", std::to_string(m_listed_records.size())}});
   const std::set<MemberId> members = m_members;
   for (const MemberId& member : members) {
     if (!m_listed_members.contains(member)) {
@@ -132,8 +135,7 @@
 void StoreView::on_error(const CoordinationError& error, TimePoint now) {
   if (error.kind == CoordinationErrorKind::kHistoryCompacted) {
     m_counters.count("store_history_gone");
-    m_log.log_state_change("store_history_gone",
-                           {{"revision", std::to_string(m_revision.value_or(StoreRevision(0)).value())}});
+    m_log.log_state_change("store_history_gone", {{"revision", std::to_string(revision().value())}});
     m_revision.reset();
     on_success(now);
     on_tick(now);
@@ -157,8 +159,8 @@
   m_answered_at = now;
   m_next_attempt = now;
   if (m_unreachable_since.has_value()) {
-    m_log.log_state_change("store_regained",
-                           {{"away_ms", std::to_string(to_milliseconds(now - *m_unreachable_since))}});
+    m_log.log_state_change("store_regained", {{"away_ms", std::to_string(to_milliseconds(now - *m_unreachable_since))},
+                                              {"revision", std::to_string(revision().value())}});
     m_unreachable_since.reset();
     m_reachable_again_at = now;
   }
--- a/servers/catalogue/store_view.h
+++ b/servers/catalogue/store_view.h
@@ -89,6 +89,9 @@
   /// watch call and kAnswerMargin.
   bool is_current(TimePoint now) const;
 
+  /// Returns the revision up to which the changes of the store are known; zero while the store has to be listed.
+  StoreRevision revision() const { return m_revision.value_or(StoreRevision(0)); }
+
   /// Returns when the store last answered.
   TimePoint answered_at() const { return m_answered_at; }
 
--- a/servers/explain/log_explainer.cc
+++ b/servers/explain/log_explainer.cc
@@ -19,8 +19,8 @@
 /// Time before the end of a request in which events of its group are taken as possible causes, in milliseconds.
 constexpr std::int64_t kContextWindowMs = 5000;
 /// Events that record what a host knows about its environment. The newest of each kind before the request is shown.
-constexpr std::array<std::string_view, 6> kHostStateEvents = {"readiness",  "minority",       "configuration",
-                                                              "store_lost", "store_regained", "process_paused"};
+constexpr std::array<std::string_view, 7> kHostStateEvents = {
+    "readiness", "minority", "configuration", "store_lost", "store_regained", "store_restored", "process_paused"};
 /// Events of a group; their field `group` contains its name.
 constexpr std::array<std::string_view, 6> kGroupEvents = {"replacement",       "leader_announced",
                                                           "primary_learned",   "member_seen",
--- a/servers/session_host/session_host.cc
+++ b/servers/session_host/session_host.cc
@@ -66,7 +66,9 @@
       m_failover({ports.links, ports.read_report, ports.promotions, *this, [this] { m_duty.rewrite(); }, ports.counters,
                   ports.log, m_settings.self, m_settings.promotion_tokens_are_checked},
                  std::move(replacement_chart)),
-      m_ring(m_settings.self, m_settings.domain) {}
+      m_ring(m_settings.self, m_settings.domain) {
+  ports.store.set_era_listener(*this);
+}
 
 void SessionHost::on_tick(TimePoint now) {
   if (m_last_tick != TimePoint() && now > m_last_tick + kProcessPauseThreshold) {
@@ -182,6 +184,21 @@
   m_sessions.begin_stop(m_settings.stop_grace, now);
 }
 
+void SessionHost::on_store_era(StoreEra era, TimePoint /*now*/) {
+  if (era < m_store_era) {
+    m_counters.count("store_answers_of_former_eras");
+    return;
+  }
+  const StoreEra before = std::exchange(m_store_era, era);
+  if (before == era || before == StoreEra(0)) {
+    return;
+  }
+  m_counters.count("store_restorations");
+  m_log.log_state_change("store_restored", {{"era", std::to_string(era.value())},
+                                            {"before", std::to_string(before.value())},
+                                            {"revision_before", std::to_string(m_view.revision().value())}});
+}
+
 void SessionHost::on_routing(const RoutingTable& table, TimePoint now) { m_sessions.on_routing_changed(table, now); }
 
 void SessionHost::on_member(const MemberEntry& entry, TimePoint now) {
@@ -426,6 +443,8 @@
   gauge("holds_failover_duty", duty_token(now).has_value() ? 1 : 0);
   gauge("store_reached", reaches_store(now) ? 1 : 0);
   gauge("store_current", m_view.is_current(now) ? 1 : 0);
+  gauge("store_era", static_cast<std::int64_t>(m_store_era.value()));
+  gauge("store_revision", m_view.revision().value());
   gauge("known_hosts", static_cast<std::int64_t>(m_fleet_size));
   for (const auto& [id, group] : m_sessions.executor().groups()) {
     const PrimaryEvidence evidence = group.report(now);
--- a/servers/session_host/session_host.h
+++ b/servers/session_host/session_host.h
@@ -52,7 +52,10 @@
 /// Serves callers' sessions in front of replicated database groups. The members replicate among themselves, and the
 /// platform carries out the promotions that a host orders. A host stores nothing locally; persistent state is in the
 /// platform's store.
-class SessionHost final : public EvidenceEvents, private StoreViewEvents, private PrimaryListener {
+class SessionHost final : public EvidenceEvents,
+                          private StoreViewEvents,
+                          private StoreEraListener,
+                          private PrimaryListener {
  public:
   /// Times to live of the leases on this host's record and on the failover duty. The duty's is short, because after its
   /// holder is lost no primary is replaced until the lease expires.
@@ -117,6 +120,7 @@
     std::optional<TimePoint> unlisted_since;
   };
 
+  void on_store_era(StoreEra era, TimePoint now) override;
   void on_routing(const RoutingTable& table, TimePoint now) override;
   void on_member(const MemberEntry& entry, TimePoint now) override;
   void on_member_missing(const MemberId& member, bool store_was_unreachable, TimePoint now) override;
@@ -166,6 +170,8 @@
   LeaderRecords m_leaders;
   EvidenceBoard m_board;
   FailoverDuty m_failover;
+  /// Newest era in which the store has answered.
+  StoreEra m_store_era;
   std::map<HostId, OtherHost> m_others;
   ReportRing m_ring;
   TimePoint m_next_duty_report;
--- a/tests/model/coordination_model.h
+++ b/tests/model/coordination_model.h
@@ -30,24 +30,44 @@
   void publish(StoreChange change) { record_change(std::move(change)); }
 
   /// Compacts the history, so that hosts which watch from an earlier revision have to list again.
-  void drop_history() { m_first_kept_revision = m_revision + 1; }
+  void drop_history() { m_contents.first_kept_revision = m_contents.revision + 1; }
+
+  /// Keeps a copy of the present content, from which restore_copy() restores the store.
+  void keep_copy() { m_copy = {m_contents, m_events.now()}; }
+  bool has_copy() const { return m_copy.has_value(); }
+
+  /// Replaces the content by the copy, as if the store had failed and come back. Whatever was written since the copy is
+  /// gone, and its revisions and lease numbers are given out again. Leases of the copy have as much time left as then.
+  void restore_copy() {
+    m_contents = m_copy->contents;
+    const Duration age = m_events.now() - m_copy->kept_at;
+    for (auto& [lease, times] : m_contents.leases) {
+      times.second += age;
+    }
+    ++m_era;
+  }
+
+  /// Grants a lease to another user of the store.
+  LeaseId grant_foreign_lease(Duration time_to_live) { return create_lease(time_to_live); }
 
   /// Removes a key, as an expired lease does.
   void remove(const std::string& key) {
-    if (m_records.erase(key) > 0) {
-      ++m_revision;
-      m_history.emplace_back(m_revision, RecordChanged{key, std::nullopt, StoreRevision(m_revision)});
+    if (m_contents.records.erase(key) > 0) {
+      ++m_contents.revision;
+      m_contents.history.emplace_back(m_contents.revision,
+                                      RecordChanged{key, std::nullopt, StoreRevision(m_contents.revision)});
     }
   }
 
-  bool has(const std::string& key) const { return m_records.contains(key); }
-  std::string value(const std::string& key) const { return m_records.at(key).value; }
+  bool has(const std::string& key) const { return m_contents.records.contains(key); }
+  std::string value(const std::string& key) const { return m_contents.records.at(key).value; }
 
   /// Port of one host to the store.
   class Port final : public CoordinationPort {
    public:
     Port(CoordinationModel& store, std::size_t host) : m_store(store), m_host(host) {}
 
+    void set_era_listener(StoreEraListener& listener) override { m_era_listener = &listener; }
     void list(StoreCallId call, const std::string& /*after*/, CoordinationEvents& receiver) override {
       reply(call, receiver, [this]() -> Result { return CoordinationResult(m_store.list_all()); });
     }
@@ -102,10 +122,19 @@
           time_out(call, receiver, m_store.m_events.now() + std::chrono::milliseconds(1200));
           return;
         }
-        receiver.on_coordination_result(call, std::move(result), m_store.m_events.now());
+        answer(call, receiver, std::move(result));
       });
     }
 
+    /// Delivers an answer of the store with its present era.
+    void answer(StoreCallId call, CoordinationEvents& receiver, Result result) {
+      const TimePoint now = m_store.m_events.now();
+      if (m_era_listener != nullptr) {
+        m_era_listener->on_store_era(StoreEra(m_store.m_era), now);
+      }
+      receiver.on_coordination_result(call, std::move(result), now);
+    }
+
     void time_out(StoreCallId call, CoordinationEvents& receiver, TimePoint at) {
       m_store.m_events.at(at, [this, call, &receiver] {
         receiver.on_coordination_result(
@@ -121,11 +150,10 @@
           time_out(call, receiver, until);
           return;
         }
-        if (revision.value() + 1 < m_store.m_first_kept_revision) {
-          receiver.on_coordination_result(
-              call,
-              tl::unexpected(CoordinationError{CoordinationErrorKind::kHistoryCompacted, "history was compacted"}),
-              m_store.m_events.now());
+        const Contents& contents = m_store.m_contents;
+        if (revision.value() + 1 < contents.first_kept_revision || revision.value() > contents.revision) {
+          answer(call, receiver,
+                 tl::unexpected(CoordinationError{CoordinationErrorKind::kHistoryCompacted, "history was compacted"}));
           return;
         }
         StoreChanges changes = m_store.changes_since(revision);
@@ -133,12 +161,13 @@
           poll(call, revision, until, receiver);
           return;
         }
-        receiver.on_coordination_result(call, CoordinationResult(std::move(changes)), m_store.m_events.now());
+        answer(call, receiver, CoordinationResult(std::move(changes)));
       });
     }
 
     CoordinationModel& m_store;
     std::size_t m_host;
+    StoreEraListener* m_era_listener = nullptr;
   };
 
  private:
@@ -151,29 +180,29 @@
   };
 
   void record_change(StoreChange change) {
-    ++m_revision;
+    ++m_contents.revision;
     if (const auto* routing = std::get_if<RoutingChanged>(&change)) {
-      m_routing = *routing;
+      m_contents.routing = *routing;
     } else if (const auto* updated = std::get_if<MemberUpdated>(&change)) {
-      m_members[updated->entry.member] = updated->entry;
+      m_contents.members[updated->entry.member] = updated->entry;
     } else if (const auto* removed = std::get_if<MemberRemoved>(&change)) {
-      m_members.erase(removed->member);
+      m_contents.members.erase(removed->member);
     }
-    m_history.emplace_back(m_revision, std::move(change));
+    m_contents.history.emplace_back(m_contents.revision, std::move(change));
   }
 
   StorePage list_all() {
     expire_due_leases();
     StorePage page;
-    page.as_of = StoreRevision(m_revision);
-    if (m_routing.has_value()) {
-      page.items.emplace_back(*m_routing);
+    page.as_of = StoreRevision(m_contents.revision);
+    if (m_contents.routing.has_value()) {
+      page.items.emplace_back(*m_contents.routing);
     }
-    for (const auto& [id, entry] : m_members) {
+    for (const auto& [id, entry] : m_contents.members) {
       page.items.emplace_back(MemberUpdated{entry});
     }
-    for (const auto& [key, record] : m_records) {
-      page.items.emplace_back(RecordChanged{key, record.value, StoreRevision(record.revision)});
+    for (const auto& [key, record] : m_contents.records) {
+      page.items.emplace_back(RecordChanged{key, record.value, StoreRevision(record.revision), LeaseId(record.lease)});
     }
     return page;
   }
@@ -181,8 +210,8 @@
   StoreChanges changes_since(StoreRevision revision) {
     expire_due_leases();
     StoreChanges changes;
-    changes.as_of = StoreRevision(m_revision);
-    for (const auto& [change_revision, change] : m_history) {
+    changes.as_of = StoreRevision(m_contents.revision);
+    for (const auto& [change_revision, change] : m_contents.history) {
       if (change_revision > revision.value()) {
         changes.changes.push_back(change);
       }
@@ -191,15 +220,15 @@
   }
 
   LeaseId create_lease(Duration time_to_live) {
-    const std::uint64_t lease = ++m_next_lease;
-    m_leases[lease] = {time_to_live, m_events.now() + time_to_live};
+    const std::uint64_t lease = ++m_contents.last_lease;
+    m_contents.leases[lease] = {time_to_live, m_events.now() + time_to_live};
     return LeaseId(lease);
   }
 
   tl::expected<CoordinationResult, CoordinationError> renew(LeaseId lease) {
     expire_due_leases();
-    const auto found = m_leases.find(lease.value());
-    if (found == m_leases.end()) {
+    const auto found = m_contents.leases.find(lease.value());
+    if (found == m_contents.leases.end()) {
       return tl::unexpected(CoordinationError{CoordinationErrorKind::kLeaseNotFound, "lease not found"});
     }
     found->second.second = m_events.now() + found->second.first;
@@ -209,23 +238,24 @@
   tl::expected<CoordinationResult, CoordinationError> write_record(const std::string& key, StoreRevision expected,
                                                                    const std::string& value, LeaseId lease) {
     expire_due_leases();
-    if (lease != LeaseId(0) && !m_leases.contains(lease.value())) {
+    if (lease != LeaseId(0) && !m_contents.leases.contains(lease.value())) {
       return tl::unexpected(CoordinationError{CoordinationErrorKind::kLeaseNotFound, "lease not found"});
     }
-    const auto found = m_records.find(key);
-    if ((found == m_records.end() ? 0 : found->second.revision) != expected.value()) {
+    const auto found = m_contents.records.find(key);
+    if ((found == m_contents.records.end() ? 0 : found->second.revision) != expected.value()) {
       return tl::unexpected(CoordinationError{CoordinationErrorKind::kConflict, "record has another revision"});
     }
-    ++m_revision;
-    m_records[key] = {value, m_revision, lease.value()};
-    m_history.emplace_back(m_revision, RecordChanged{key, value, StoreRevision(m_revision)});
-    return CoordinationResult(StoreRevision(m_revision));
+    ++m_contents.revision;
+    m_contents.records[key] = {value, m_contents.revision, lease.value()};
+    m_contents.history.emplace_back(m_contents.revision,
+                                    RecordChanged{key, value, StoreRevision(m_contents.revision), lease});
+    return CoordinationResult(StoreRevision(m_contents.revision));
   }
 
   void expire_lease(std::uint64_t lease) {
-    m_leases.erase(lease);
+    m_contents.leases.erase(lease);
     std::vector<std::string> keys;
-    for (const auto& [key, record] : m_records) {
+    for (const auto& [key, record] : m_contents.records) {
       if (record.lease == lease) {
         keys.push_back(key);
       }
@@ -237,7 +267,7 @@
 
   void expire_due_leases() {
     std::vector<std::uint64_t> due;
-    for (const auto& [lease, times] : m_leases) {
+    for (const auto& [lease, times] : m_contents.leases) {
       if (times.second <= m_events.now()) {
         due.push_back(lease);
       }
@@ -247,17 +277,28 @@
     }
   }
 
+  /// What the store holds; a copy of it can be restored.
+  struct Contents {
+    std::int64_t revision = 1;
+    /// Oldest revision whose change hosts can still watch.
+    std::int64_t first_kept_revision = 0;
+    std::vector<std::pair<std::int64_t, StoreChange>> history;
+    std::optional<RoutingChanged> routing;
+    std::map<MemberId, MemberEntry> members;
+    std::map<std::string, Record> records;
+    /// Time to live and expiry of each lease.
+    std::map<std::uint64_t, std::pair<Duration, TimePoint>> leases;
+    std::uint64_t last_lease = 0;
+  };
+  struct Copy {
+    Contents contents;
+    TimePoint kept_at;
+  };
+
   EventQueue& m_events;
-  std::int64_t m_revision = 1;
-  /// Oldest revision whose change hosts can still watch.
-  std::int64_t m_first_kept_revision = 0;
-  std::vector<std::pair<std::int64_t, StoreChange>> m_history;
-  std::optional<RoutingChanged> m_routing;
-  std::map<MemberId, MemberEntry> m_members;
-  std::map<std::string, Record> m_records;
-  /// Time to live and expiry of each lease.
-  std::map<std::uint64_t, std::pair<Duration, TimePoint>> m_leases;
-  std::uint64_t m_next_lease = 0;
+  std::uint64_t m_era = 1;
+  Contents m_contents;
+  std::optional<Copy> m_copy;
 };
 
 }  // namespace teaselrudder::model
--- a/tests/model/session_world.cc
+++ b/tests/model/session_world.cc
@@ -198,9 +198,15 @@
     const GroupId idle("idle" + std::to_string(index));
     table.groups[idle] = {idle, m_members.max_connections, true};
   }
+  m_routes = table;
   m_store.publish(RoutingChanged{table});
 }
 
+void SessionWorld::publish_again() {
+  m_store.publish(RoutingChanged{m_routes});
+  publish_members();
+}
+
 void SessionWorld::publish_members() {
   for (std::size_t index = 0; index < m_members.size(); ++index) {
     ReplicatedMembers::Member& member = m_members.member(index);
--- a/tests/model/session_world.h
+++ b/tests/model/session_world.h
@@ -104,6 +104,9 @@
 
   /// Publishes the configuration with a new version number.
   void publish_routes(Duration timeout = std::chrono::milliseconds(800));
+  /// Writes the newest configuration and the entries of all members again, as their writers do after the store was
+  /// restored from an older copy.
+  void publish_again();
   /// Publishes the entries of all running members and removes those of the others.
   void publish_members();
   /// Starts the members that are down. Their entries appear in the store before they receive any log.
@@ -148,6 +151,7 @@
   std::uint64_t m_next_id = 1;
   std::uint64_t m_next_session = 1;
   std::uint64_t m_version = 0;
+  RoutingTable m_routes;
 };
 
 }  // namespace teaselrudder::model
--- a/tests/servers/catalogue/store_view_test.cc
+++ b/tests/servers/catalogue/store_view_test.cc
@@ -18,6 +18,7 @@
     Duration wait;
   };
 
+  void set_era_listener(StoreEraListener&) override {}
   void list(StoreCallId call, const std::string& /*after*/, CoordinationEvents& /*receiver*/) override {
     lists.push_back(call);
   }
