List the store again after it was restored from an older copy

Cause: a host that follows the store from a revision of the lost history gets no 410 once that revision has been given out again. It takes the answer for a continuation and never sees what was written at lower revisions since.

A host now lists the store whenever the era in its answers changes, and takes neither the members nor the routing for complete until owners had time to write their entries again. Ruled out: a lost or silent connection (the three hosts logged store_regained and answers).

Failed before, pass now: configuration_is_in_force_although_its_revision_was_given_out_before, member_that_joined_in_the_lost_time_stays_known.

--- a/servers/catalogue/store_view.cc
+++ b/servers/catalogue/store_view.cc
@@ -39,6 +39,15 @@
   }
 }
 
+void StoreView::on_store_restored(TimePoint now) {
+  m_call.reset();
+  m_revision.reset();
+  m_failures = 0;
+  m_next_attempt = now;
+  m_reachable_again_at = now;
+  m_settled_at = now + kReregistrationTime;
+}
+
 TimePoint StoreView::next_wakeup() const { return m_call.has_value() ? TimePoint::max() : m_next_attempt; }
 
 bool StoreView::is_current(TimePoint now) const {
--- a/servers/catalogue/store_view.h
+++ b/servers/catalogue/store_view.h
@@ -35,7 +35,7 @@
 /// Follows the platform's store and passes its contents to StoreViewEvents.
 ///
 /// Lists the whole store once, then watches it for changes from that revision on. If the store no longer keeps the
-/// changes since the last known revision, the store is listed again.
+/// changes since the last known revision, or was restored from an older copy, the store is listed again.
 class StoreView final : public CoordinationEvents {
  public:
   /// Bounds of the time that one watch call waits for a change. Every call is paid for, also one that ends without a
@@ -49,8 +49,8 @@
   static constexpr double kWatchWaitJitter = 0.2;
   /// Time after the end of a watch call's wait above which the known contents no longer count as current.
   static constexpr Duration kAnswerMargin = std::chrono::seconds(1);
-  /// Time that owners of entries get to register again after the store became reachable, as their entries may have
-  /// expired in the meantime.
+  /// Time that owners of entries get to register again after the store became reachable or was restored, as their
+  /// entries may have expired or been lost in the meantime.
   static constexpr Duration kReregistrationTime = std::chrono::milliseconds(2500);
   /// Delay before the next watch call after a change, multiplied by the number of hosts. 5 ms per host limits the watch
   /// calls of all hosts together to 200 a second, up to the number of hosts at which the maximum applies.
@@ -78,6 +78,11 @@
   /// Sets the longest time that a watch call waits. If it becomes shorter, the store is asked at once.
   void set_watch_wait(Duration wait, TimePoint now);
 
+  /// Lists the store again, which was restored from an older copy: the known revision belongs to a history that is
+  /// gone, and a watch from it would skip the changes that got lower revisions since. Calls that are running are
+  /// ignored.
+  void on_store_restored(TimePoint now);
+
   /// Starts the next call to the store if none is running and the delay has passed.
   void on_tick(TimePoint now);
   /// Returns when on_tick() is due next; TimePoint::max() while a call is running.
@@ -89,6 +94,9 @@
   /// watch call and kAnswerMargin.
   bool is_current(TimePoint now) const;
 
+  /// Returns false while the contents may lack what was lost with a restoration and has not been written again yet.
+  bool is_settled(TimePoint now) const { return now >= m_settled_at; }
+
   /// Returns the revision up to which the changes of the store are known; zero while the store has to be listed.
   StoreRevision revision() const { return m_revision.value_or(StoreRevision(0)); }
 
@@ -134,6 +142,7 @@
   TimePoint m_answered_at;
   std::optional<TimePoint> m_unreachable_since;
   TimePoint m_reachable_again_at;
+  TimePoint m_settled_at;
 };
 
 }  // namespace teaselrudder
--- a/servers/session_host/session_host.cc
+++ b/servers/session_host/session_host.cc
@@ -82,12 +82,12 @@
                                                            : StoreView::watch_wait_for(m_settings.configuration_bound),
                         now);
   m_view.on_tick(now);
-  m_sessions.set_routing_current(m_view.is_current(now), now);
+  const bool is_view_current = m_view.is_current(now) && m_view.is_settled(now);
+  m_sessions.set_routing_current(is_view_current, now);
   m_record.on_tick(m_view.is_complete(), now);
   update_duty(now);
   m_leaders.on_tick(now);
-  m_failover.on_tick(m_sessions.executor().groups(), m_board, duty_token(now), m_fleet_size, m_view.is_current(now),
-                     now);
+  m_failover.on_tick(m_sessions.executor().groups(), m_board, duty_token(now), m_fleet_size, is_view_current, now);
   if (m_failover.take_token_rejected()) {
     m_duty.on_superseded(now);
   }
@@ -184,19 +184,21 @@
   m_sessions.begin_stop(m_settings.stop_grace, now);
 }
 
-void SessionHost::on_store_era(StoreEra era, TimePoint /*now*/) {
+void SessionHost::on_store_era(StoreEra era, TimePoint now) {
   if (era < m_store_era) {
     m_counters.count("store_answers_of_former_eras");
     return;
   }
   const StoreEra before = std::exchange(m_store_era, era);
-  if (before == era || before == StoreEra(0)) {
+  const bool is_first_answer = before == StoreEra(0) && !m_view.is_complete();
+  if (before == era || is_first_answer) {
     return;
   }
   m_counters.count("store_restorations");
   m_log.log_state_change("store_restored", {{"era", std::to_string(era.value())},
                                             {"before", std::to_string(before.value())},
                                             {"revision_before", std::to_string(m_view.revision().value())}});
+  m_view.on_store_restored(now);
 }
 
 void SessionHost::on_routing(const RoutingTable& table, TimePoint now) { m_sessions.on_routing_changed(table, now); }
