Confirm leased records after the store was restored

Cause: a record remembered the highest revision that the store had reported under its key and dropped everything lower as old. After a restoration the removal of the duty's record is listed at a lower revision, so every host waited for a holder that did not exist. A host's own record was written with an expected revision of the lost history and rejected, and the number of a lost lease could be given out to another host, whose lease was then renewed instead.

A record now forgets what the store reported when the store's era changes. One that was held stays held if the new listing contains it under its lease, and is written again otherwise. The lost lease is neither renewed nor ended, because its number may belong to another host. A host whose own value is in the store may write it again at once.

Failed before, pass now: failover_duty_is_taken_after_its_record_was_lost, primary_is_replaced_after_the_duty_changed_hands_in_the_lost_time, lost_record_of_a_host_is_written_again_although_its_lease_was_given_out_again.

--- a/servers/catalogue/leased_record.cc
+++ b/servers/catalogue/leased_record.cc
@@ -35,6 +35,10 @@
   }
   m_stored_revision = record.value.has_value() ? std::optional<StoreRevision>(record.revision) : std::nullopt;
   m_stored_value = record.value.value_or("");
+  if (m_state == State::kUnconfirmed) {
+    confirm(record, now);
+    return;
+  }
   if (m_state == State::kWriting && m_call == std::nullopt && m_stored_value == m_value) {
     // The store holds this host's value, so the write succeeded and only its answer was lost.
     on_acquired(record.revision, now);
@@ -52,6 +56,46 @@
   }
 }
 
+void LeasedRecord::on_store_restored(TimePoint now) {
+  m_stored_revision.reset();
+  m_stored_value.clear();
+  m_call.reset();
+  m_renewal.reset();
+  m_failures = 0;
+  m_next_attempt = now;
+  if (m_state == State::kHeld || m_state == State::kUnconfirmed) {
+    m_state = State::kUnconfirmed;
+    return;
+  }
+  // The lease is not ended, because its number may belong to another host now.
+  m_lease.reset();
+  m_state = State::kNotHeld;
+}
+
+void LeasedRecord::confirm(const RecordChanged& record, TimePoint now) {
+  if (m_stored_value != m_value || record.lease != m_lease) {
+    return;
+  }
+  m_log.log_state_change("record_confirmed", {{"key", m_key}, {"revision", std::to_string(record.revision.value())}});
+  m_state = State::kHeld;
+  m_revision = record.revision;
+  m_next_renewal = now;
+}
+
+void LeasedRecord::on_store_listed(TimePoint now) {
+  if (m_state != State::kUnconfirmed) {
+    return;
+  }
+  m_lease.reset();
+  handle_loss("the restored store does not contain it", now);
+  m_failures = 0;
+  m_next_attempt = now;
+}
+
+bool LeasedRecord::may_replace_stored() const {
+  return m_policy == RecordPolicy::kReplace || !m_stored_revision.has_value() || m_stored_value == m_value;
+}
+
 void LeasedRecord::on_tick(bool may_acquire, TimePoint now) {
   if (m_state == State::kHeld && !m_renewal.has_value() && now >= m_next_renewal) {
     m_renewal = next_call();
@@ -67,7 +111,7 @@
   }
   if (!may_acquire) {
     m_next_attempt = now + kMinRetryDelay;
-  } else if (m_policy == RecordPolicy::kReplace || !m_stored_revision.has_value()) {
+  } else if (may_replace_stored()) {
     request_lease(now);
   }
 }
@@ -75,12 +119,13 @@
 TimePoint LeasedRecord::next_wakeup() const {
   switch (m_state) {
     case State::kNotHeld:
-      return m_policy == RecordPolicy::kReplace || !m_stored_revision.has_value() ? m_next_attempt : TimePoint::max();
+      return may_replace_stored() ? m_next_attempt : TimePoint::max();
     case State::kWriting:
       return m_call.has_value() ? TimePoint::max() : m_next_attempt;
     case State::kHeld:
       return m_renewal.has_value() ? TimePoint::max() : m_next_renewal;
     case State::kRequestingLease:
+    case State::kUnconfirmed:
       return TimePoint::max();
   }
   return TimePoint::max();
@@ -117,17 +162,17 @@
 }
 
 void LeasedRecord::on_superseded(TimePoint now) {
-  if (m_state == State::kHeld) {
+  if (held_revision().has_value()) {
     handle_loss("another host uses a higher revision", now);
   }
 }
 
 std::optional<StoreRevision> LeasedRecord::held_revision() const {
-  return m_state == State::kHeld ? m_revision : std::nullopt;
+  return m_state == State::kHeld || m_state == State::kUnconfirmed ? m_revision : std::nullopt;
 }
 
 bool LeasedRecord::is_renewed(TimePoint now) const {
-  return m_state == State::kHeld && now < m_renewed_at + m_timings.time_to_live;
+  return held_revision().has_value() && now < m_renewed_at + m_timings.time_to_live;
 }
 
 void LeasedRecord::handle_loss(const std::string& cause, TimePoint now) {
@@ -181,7 +226,7 @@
     return;
   }
   m_lease = std::get<LeaseId>(*outcome);
-  if (m_policy == RecordPolicy::kOnlyIfAbsent && m_stored_revision.has_value()) {
+  if (!may_replace_stored()) {
     handle_loss("another host wrote the record first", now);
     return;
   }
--- a/servers/catalogue/leased_record.h
+++ b/servers/catalogue/leased_record.h
@@ -16,6 +16,10 @@
 
 /// Keeps a record in the platform's store under a lease: requests the lease, writes the record under it, renews the
 /// lease, and starts over when the lease ends or another host replaces the record.
+///
+/// A store that was restored from an older copy may have forgotten the record and its lease, and may give out the
+/// number of the lease again. A held record then counts as unconfirmed until the store has been listed: it is held on
+/// if the listing contains it under its lease, and written again otherwise.
 class LeasedRecord final : public CoordinationEvents {
  public:
   /// Both values have to be within the limits of the platform. The time to live has to cover two lost renewals.
@@ -31,6 +35,12 @@
   /// Processes what the store reported under the record's key.
   void on_record(const RecordChanged& record, TimePoint now);
 
+  /// Forgets what the store reported and every running call, because the store was restored from an older copy.
+  void on_store_restored(TimePoint now);
+
+  /// Processes the end of a listing of the store, in which on_record() was called for the record if it exists.
+  void on_store_listed(TimePoint now);
+
   /// Renews the lease or tries to acquire the record, as due. No new attempt to acquire it starts while `may_acquire`
   /// is false.
   void on_tick(bool may_acquire, TimePoint now);
@@ -62,8 +72,13 @@
                               TimePoint now) override;
 
  private:
-  enum class State { kNotHeld, kRequestingLease, kWriting, kHeld };
+  /// In kUnconfirmed the record was held before the store was restored.
+  enum class State { kNotHeld, kRequestingLease, kWriting, kHeld, kUnconfirmed };
 
+  /// Returns true if the policy allows this host to write the record.
+  bool may_replace_stored() const;
+  /// Holds the record on if the restored store contains it under its lease.
+  void confirm(const RecordChanged& record, TimePoint now);
   void request_lease(TimePoint now);
   void back_off(TimePoint now);
   void handle_loss(const std::string& cause, TimePoint now);
--- a/servers/catalogue/store_view.cc
+++ b/servers/catalogue/store_view.cc
@@ -139,6 +139,7 @@
       apply(RecordChanged{key, std::nullopt, *m_revision}, now);
     }
   }
+  m_events.on_store_listed(now);
 }
 
 void StoreView::on_error(const CoordinationError& error, TimePoint now) {
--- a/servers/catalogue/store_view.h
+++ b/servers/catalogue/store_view.h
@@ -30,6 +30,8 @@
   virtual void on_member_missing(const MemberId& member, bool store_was_unreachable, TimePoint now) = 0;
   /// A record was listed, written or removed.
   virtual void on_record(const RecordChanged& record, TimePoint now) = 0;
+  /// The whole store was listed, and everything that it contains has been passed on.
+  virtual void on_store_listed(TimePoint now) = 0;
 };
 
 /// Follows the platform's store and passes its contents to StoreViewEvents.
--- a/servers/session_host/session_host.cc
+++ b/servers/session_host/session_host.cc
@@ -199,6 +199,13 @@
                                             {"before", std::to_string(before.value())},
                                             {"revision_before", std::to_string(m_view.revision().value())}});
   m_view.on_store_restored(now);
+  m_record.on_store_restored(now);
+  m_duty.on_store_restored(now);
+}
+
+void SessionHost::on_store_listed(TimePoint now) {
+  m_record.on_store_listed(now);
+  m_duty.on_store_listed(now);
 }
 
 void SessionHost::on_routing(const RoutingTable& table, TimePoint now) { m_sessions.on_routing_changed(table, now); }
--- a/servers/session_host/session_host.h
+++ b/servers/session_host/session_host.h
@@ -125,6 +125,7 @@
   void on_member(const MemberEntry& entry, TimePoint now) override;
   void on_member_missing(const MemberId& member, bool store_was_unreachable, TimePoint now) override;
   void on_record(const RecordChanged& record, TimePoint now) override;
+  void on_store_listed(TimePoint now) override;
   void on_primary_position(const GroupId& group, const LogPoint& position, TimePoint at) override;
   void on_leader_announced(const GroupId& group, const GroupLeader& leader, TimePoint now) override;
 
--- a/tests/servers/catalogue/store_view_test.cc
+++ b/tests/servers/catalogue/store_view_test.cc
@@ -41,6 +41,7 @@
   void on_member(const MemberEntry&, TimePoint) override {}
   void on_member_missing(const MemberId&, bool, TimePoint) override {}
   void on_record(const RecordChanged&, TimePoint) override {}
+  void on_store_listed(TimePoint) override {}
 };
 
 class NoEventLog final : public EventLogPort {
--- a/tests/servers/session_host/restored_store_test.cc
+++ b/tests/servers/session_host/restored_store_test.cc
@@ -137,7 +137,7 @@
   void fencing_tokens_rise_across_a_restoration() {
     SessionWorld world(kHosts);
     world.store().keep_copy();
-    for (int round = 0; round < 5; ++round) {
+    for (int round = 0; round < 100; ++round) {
       world.publish_members();
     }
     move_duty(world);
