Make fencing tokens rise across a restoration of the store

What callers would see: a new holder of the failover duty whose promotions the platform rejects and whose leases on reading every host ignores, until the store's revision has passed the one of the lost history.

Cause: the fencing token was the revision of the duty's record, and revisions go back.

The token is now the era of the store and the revision, in this order (record_version.h); where the store names no era it is the revision, as before. Weighed and not taken: the highest token known to the fleet plus one, which a fleet that starts anew does not know.

Failed before, passes now: fencing_tokens_rise_across_a_restoration.

--- a/servers/catalogue/leased_record.cc
+++ b/servers/catalogue/leased_record.cc
@@ -44,7 +44,7 @@
     on_acquired(record.revision, now);
     return;
   }
-  if (m_state != State::kHeld || record.revision <= *m_revision) {
+  if (m_state != State::kHeld || record.revision <= m_version->revision) {
     return;
   }
   if (!record.value.has_value()) {
@@ -52,11 +52,12 @@
   } else if (*record.value != m_value) {
     handle_loss("another host holds the record", now);
   } else {
-    m_revision = record.revision;
+    m_version = {m_store_era, record.revision};
   }
 }
 
-void LeasedRecord::on_store_restored(TimePoint now) {
+void LeasedRecord::on_store_restored(StoreEra era, TimePoint now) {
+  m_store_era = era;
   m_stored_revision.reset();
   m_stored_value.clear();
   m_call.reset();
@@ -78,7 +79,7 @@
   }
   m_log.log_state_change("record_confirmed", {{"key", m_key}, {"revision", std::to_string(record.revision.value())}});
   m_state = State::kHeld;
-  m_revision = record.revision;
+  m_version = {m_store_era, record.revision};
   m_next_renewal = now;
 }
 
@@ -140,7 +141,8 @@
 
 void LeasedRecord::send_write() {
   m_call = next_call();
-  const StoreRevision expected = m_revision.has_value() ? *m_revision : m_stored_revision.value_or(StoreRevision(0));
+  const StoreRevision expected =
+      m_version.has_value() ? m_version->revision : m_stored_revision.value_or(StoreRevision(0));
   m_store.write(*m_call, m_key, expected, m_value, *m_lease, *this);
 }
 
@@ -152,7 +154,7 @@
   m_call.reset();
   m_renewal.reset();
   m_lease.reset();
-  m_revision.reset();
+  m_version.reset();
 }
 
 void LeasedRecord::rewrite() {
@@ -162,23 +164,24 @@
 }
 
 void LeasedRecord::on_superseded(TimePoint now) {
-  if (held_revision().has_value()) {
+  if (held_version().has_value()) {
     handle_loss("another host uses a higher revision", now);
   }
 }
 
-std::optional<StoreRevision> LeasedRecord::held_revision() const {
-  return m_state == State::kHeld || m_state == State::kUnconfirmed ? m_revision : std::nullopt;
+std::optional<RecordVersion> LeasedRecord::held_version() const {
+  return m_state == State::kHeld || m_state == State::kUnconfirmed ? m_version : std::nullopt;
 }
 
 bool LeasedRecord::is_renewed(TimePoint now) const {
-  return held_revision().has_value() && now < m_renewed_at + m_timings.time_to_live;
+  return held_version().has_value() && now < m_renewed_at + m_timings.time_to_live;
 }
 
 void LeasedRecord::handle_loss(const std::string& cause, TimePoint now) {
-  m_log.log_state_change(
-      "record_lost",
-      {{"key", m_key}, {"cause", cause}, {"revision", std::to_string(m_revision.value_or(StoreRevision(0)).value())}});
+  m_log.log_state_change("record_lost",
+                         {{"key", m_key},
+                          {"cause", cause},
+                          {"revision", std::to_string(m_version.value_or(RecordVersion()).revision.value())}});
   m_counters.count("store_records_lost");
   release();
   back_off(now);
@@ -192,7 +195,7 @@
 void LeasedRecord::on_acquired(StoreRevision revision, TimePoint now) {
   m_log.log_state_change("record_held", {{"key", m_key}, {"revision", std::to_string(revision.value())}});
   m_state = State::kHeld;
-  m_revision = revision;
+  m_version = {m_store_era, revision};
   m_failures = 0;
   m_next_renewal = now + m_timings.renewal;
 }
--- a/servers/catalogue/leased_record.h
+++ b/servers/catalogue/leased_record.h
@@ -8,6 +8,7 @@
 #include "core/ports/coordination_port.h"
 #include "core/ports/event_log_port.h"
 #include "core/random_sequence.h"
+#include "servers/catalogue/record_version.h"
 
 namespace teaselrudder {
 
@@ -35,8 +36,12 @@
   /// Processes what the store reported under the record's key.
   void on_record(const RecordChanged& record, TimePoint now);
 
-  /// Forgets what the store reported and every running call, because the store was restored from an older copy.
-  void on_store_restored(TimePoint now);
+  /// Sets the era of the store's first answer.
+  void set_store_era(StoreEra era) { m_store_era = era; }
+
+  /// Forgets what the store reported and every running call, because the store was restored from an older copy and is
+  /// now in `era`.
+  void on_store_restored(StoreEra era, TimePoint now);
 
   /// Processes the end of a listing of the store, in which on_record() was called for the record if it exists.
   void on_store_listed(TimePoint now);
@@ -57,9 +62,9 @@
   /// Gives up the record after a receiver rejected its revision because another host has used a higher one.
   void on_superseded(TimePoint now);
 
-  /// Returns the revision of the record while this host holds it, or nothing. It stays valid while the store is
+  /// Returns the version of the record while this host holds it, or nothing. It stays valid while the store is
   /// unreachable, because no other host can write the record then.
-  std::optional<StoreRevision> held_revision() const;
+  std::optional<RecordVersion> held_version() const;
 
   /// Returns whether the last successful renewal is more recent than the lease's time to live. False after this process
   /// was paused for longer, until the next renewal succeeds.
@@ -104,7 +109,8 @@
   std::optional<StoreCallId> m_renewal;
   TimePoint m_renewal_sent_at;
   std::optional<LeaseId> m_lease;
-  std::optional<StoreRevision> m_revision;
+  StoreEra m_store_era;
+  std::optional<RecordVersion> m_version;
   /// Revision and value under the key as the store last reported them; empty if the key does not exist.
   std::optional<StoreRevision> m_stored_revision;
   std::string m_stored_value;
--- a/servers/session_host/session_host.cc
+++ b/servers/session_host/session_host.cc
@@ -78,8 +78,8 @@
   }
   m_last_tick = now;
   // The holder of the duty replaces primaries and has to know all members of a group.
-  m_view.set_watch_wait(m_duty.held_revision().has_value() ? StoreView::kMinWatchWait
-                                                           : StoreView::watch_wait_for(m_settings.configuration_bound),
+  m_view.set_watch_wait(m_duty.held_version().has_value() ? StoreView::kMinWatchWait
+                                                          : StoreView::watch_wait_for(m_settings.configuration_bound),
                         now);
   m_view.on_tick(now);
   const bool is_view_current = m_view.is_current(now) && m_view.is_settled(now);
@@ -110,10 +110,10 @@
 }
 
 std::optional<FencingToken> SessionHost::duty_token(TimePoint now) const {
-  const std::optional<StoreRevision> revision = m_duty.held_revision();
+  const std::optional<RecordVersion> version = m_duty.held_version();
   // A host in the minority is more likely to be cut off itself than the primaries that it cannot reach are to be lost.
   const double share = heard_share(now);
-  if (!revision.has_value() || m_stopping || share < ReportRing::kHalf) {
+  if (!version.has_value() || m_stopping || share < ReportRing::kHalf) {
     return std::nullopt;
   }
   // Without its lease the holder needs more than half, so that it shares a host with everyone who acts with a lease.
@@ -121,11 +121,11 @@
   if (!m_duty.is_renewed(now) && !(may_act_without_store && store_is_unreachable_for_all(now))) {
     return std::nullopt;
   }
-  return FencingToken(static_cast<std::uint64_t>(revision->value()));
+  return to_fencing_token(*version);
 }
 
 bool SessionHost::reaches_store(TimePoint now) const {
-  if (!m_record.held_revision().has_value()) {
+  if (!m_record.held_version().has_value()) {
     // Nothing is renewed, so only the answers to the watch calls show that the store is reached.
     return m_view.is_current(now);
   }
@@ -145,7 +145,7 @@
   const bool has_quorum = heard_share(now) >= ReportRing::kHalf;
   if (has_quorum) {
     m_had_quorum_at = now;
-  } else if (m_duty.held_revision().has_value() && now >= m_had_quorum_at + kMaxDutyWithoutQuorum) {
+  } else if (m_duty.held_version().has_value() && now >= m_had_quorum_at + kMaxDutyWithoutQuorum) {
     m_log.log_state_change("duty_released", {{"cause", "less than half of the fleet is heard"}});
     m_duty.release();
   }
@@ -191,6 +191,10 @@
   }
   const StoreEra before = std::exchange(m_store_era, era);
   const bool is_first_answer = before == StoreEra(0) && !m_view.is_complete();
+  if (is_first_answer) {
+    m_record.set_store_era(era);
+    m_duty.set_store_era(era);
+  }
   if (before == era || is_first_answer) {
     return;
   }
@@ -199,8 +203,8 @@
                                             {"before", std::to_string(before.value())},
                                             {"revision_before", std::to_string(m_view.revision().value())}});
   m_view.on_store_restored(now);
-  m_record.on_store_restored(now);
-  m_duty.on_store_restored(now);
+  m_record.on_store_restored(era, now);
+  m_duty.on_store_restored(era, now);
 }
 
 void SessionHost::on_store_listed(TimePoint now) {
@@ -314,8 +318,8 @@
 
 void SessionHost::note_duty_token(std::uint64_t token, TimePoint now) {
   m_newest_duty_token = std::max(m_newest_duty_token, token);
-  const std::optional<StoreRevision> held = m_duty.held_revision();
-  if (held.has_value() && token > static_cast<std::uint64_t>(held->value())) {
+  const std::optional<RecordVersion> held = m_duty.held_version();
+  if (held.has_value() && token > to_fencing_token(*held).value()) {
     m_duty.on_superseded(now);
   }
 }
