Leave the failover duty to its holder while a forgotten lease may be trusted

What callers would see: two holders of the failover duty for up to 1.6 s, so leases on reading at a primary that the other holder replaces.

Cause: the duty may be taken as soon as its record is absent, because a record vanished only after its lease had run out. A restored store forgets the record at once, while a holder that has not heard of the restoration trusts its lease until the time to live is over.

After a restoration only the host whose token is valid at that moment writes the record again at once; all others wait for the time to live of the lease. A process that started since then learns of the restoration from the reports of the others, whose newest token is of an earlier era than the store's.

Failed before, passes now: duty_has_one_holder_although_the_store_forgot_its_lease. restarted_host_does_not_take_the_duty_from_a_holder_whose_lease_the_store_forgot and holder_keeps_the_duty_without_a_gap fail without their part (two trials).

--- a/servers/catalogue/leased_record.cc
+++ b/servers/catalogue/leased_record.cc
@@ -56,7 +56,7 @@
   }
 }
 
-void LeasedRecord::on_store_restored(StoreEra era, TimePoint now) {
+void LeasedRecord::on_store_restored(StoreEra era, bool is_valid_holder, TimePoint now) {
   m_store_era = era;
   m_stored_revision.reset();
   m_stored_value.clear();
@@ -64,6 +64,9 @@
   m_renewal.reset();
   m_failures = 0;
   m_next_attempt = now;
+  if (m_policy == RecordPolicy::kOnlyIfAbsent && !is_valid_holder) {
+    delay_acquisition(now);
+  }
   if (m_state == State::kHeld || m_state == State::kUnconfirmed) {
     m_state = State::kUnconfirmed;
     return;
@@ -107,7 +110,7 @@
   if (m_state == State::kWriting && !m_call.has_value() && now >= m_next_attempt) {
     handle_loss("store did not confirm the write", now);
   }
-  if (m_state != State::kNotHeld || now < m_next_attempt) {
+  if (m_state != State::kNotHeld || now < std::max(m_next_attempt, m_earliest_acquisition)) {
     return;
   }
   if (!may_acquire) {
@@ -120,7 +123,7 @@
 TimePoint LeasedRecord::next_wakeup() const {
   switch (m_state) {
     case State::kNotHeld:
-      return may_replace_stored() ? m_next_attempt : TimePoint::max();
+      return may_replace_stored() ? std::max(m_next_attempt, m_earliest_acquisition) : TimePoint::max();
     case State::kWriting:
       return m_call.has_value() ? TimePoint::max() : m_next_attempt;
     case State::kHeld:
--- a/servers/catalogue/leased_record.h
+++ b/servers/catalogue/leased_record.h
@@ -40,8 +40,12 @@
   void set_store_era(StoreEra era) { m_store_era = era; }
 
   /// Forgets what the store reported and every running call, because the store was restored from an older copy and is
-  /// now in `era`.
-  void on_store_restored(StoreEra era, TimePoint now);
+  /// now in `era`. `is_valid_holder` is true if this host may act on the record at this moment. Only such a host may
+  /// write a record with RecordPolicy::kOnlyIfAbsent again at once; see delay_acquisition().
+  void on_store_restored(StoreEra era, bool is_valid_holder, TimePoint now);
+
+  /// Does not acquire the record before a lease that the store has forgotten would have run out for its holder.
+  void delay_acquisition(TimePoint now) { m_earliest_acquisition = now + m_timings.time_to_live; }
 
   /// Processes the end of a listing of the store, in which on_record() was called for the record if it exists.
   void on_store_listed(TimePoint now);
@@ -115,6 +119,7 @@
   std::optional<StoreRevision> m_stored_revision;
   std::string m_stored_value;
   TimePoint m_next_attempt;
+  TimePoint m_earliest_acquisition;
   TimePoint m_next_renewal;
   TimePoint m_renewed_at;
   std::uint32_t m_failures = 0;
--- a/servers/session_host/session_host.cc
+++ b/servers/session_host/session_host.cc
@@ -202,9 +202,11 @@
   m_log.log_state_change("store_restored", {{"era", std::to_string(era.value())},
                                             {"before", std::to_string(before.value())},
                                             {"revision_before", std::to_string(m_view.revision().value())}});
+  m_former_holder_awaited_in = era;
+  const bool is_duty_valid = duty_token(now).has_value();
   m_view.on_store_restored(now);
-  m_record.on_store_restored(era, now);
-  m_duty.on_store_restored(era, now);
+  m_record.on_store_restored(era, true, now);
+  m_duty.on_store_restored(era, is_duty_valid, now);
 }
 
 void SessionHost::on_store_listed(TimePoint now) {
@@ -318,6 +320,11 @@
 
 void SessionHost::note_duty_token(std::uint64_t token, TimePoint now) {
   m_newest_duty_token = std::max(m_newest_duty_token, token);
+  const bool is_of_former_era = token != 0 && era_of(FencingToken(token)) < m_store_era;
+  if (is_of_former_era && std::exchange(m_former_holder_awaited_in, m_store_era) != m_store_era) {
+    // This process started after the store was restored, and a holder from before may still act on its lost lease.
+    m_duty.delay_acquisition(now);
+  }
   const std::optional<RecordVersion> held = m_duty.held_version();
   if (held.has_value() && token > to_fencing_token(*held).value()) {
     m_duty.on_superseded(now);
--- a/servers/session_host/session_host.h
+++ b/servers/session_host/session_host.h
@@ -173,6 +173,8 @@
   FailoverDuty m_failover;
   /// Newest era in which the store has answered.
   StoreEra m_store_era;
+  /// Era in which this host last waited for the end of a lease from an earlier era.
+  StoreEra m_former_holder_awaited_in;
   std::map<HostId, OtherHost> m_others;
   ReportRing m_ring;
   TimePoint m_next_duty_report;
--- a/tests/servers/session_host/restored_store_test.cc
+++ b/tests/servers/session_host/restored_store_test.cc
@@ -66,6 +66,8 @@
   CPPUNIT_TEST(primary_is_replaced_after_the_duty_changed_hands_in_the_lost_time);
   CPPUNIT_TEST(fencing_tokens_rise_across_a_restoration);
   CPPUNIT_TEST(duty_has_one_holder_although_the_store_forgot_its_lease);
+  CPPUNIT_TEST(restarted_host_does_not_take_the_duty_from_a_holder_whose_lease_the_store_forgot);
+  CPPUNIT_TEST(holder_keeps_the_duty_without_a_gap);
   CPPUNIT_TEST(lost_record_of_a_host_is_written_again_although_its_lease_was_given_out_again);
   CPPUNIT_TEST(announced_primary_is_recorded_again);
   CPPUNIT_TEST(leaving_member_stays_leaving);
@@ -169,6 +171,55 @@
     }
   }
 
+  // Guards against the same by a process that was not there when the store came back.
+  void restarted_host_does_not_take_the_duty_from_a_holder_whose_lease_the_store_forgot() {
+    SessionWorld world(kHosts);
+    world.store().keep_copy();
+    move_duty(world);
+    const std::size_t holder = duty_holder(world);
+    world.store().unreachable_hosts = {holder};
+    for (std::size_t host = 0; host < kHosts; ++host) {
+      if (host != holder) {
+        world.kill_host(host);
+      }
+    }
+    world.store().restore_copy();
+    for (int round = 0; round < 5; ++round) {
+      world.publish_members();
+    }
+    world.store().remove(kDutyKey);
+    for (std::size_t host = 0; host < kHosts; ++host) {
+      if (host != holder) {
+        world.restart_host(host);
+      }
+    }
+    for (int step = 0; step < 300; ++step) {
+      world.run_for(std::chrono::milliseconds(10));
+      CPPUNIT_ASSERT(count_holders(world) <= 1);
+    }
+  }
+
+  // Guards against a pause in which nobody grants leases, although the holder of the duty never stopped.
+  void holder_keeps_the_duty_without_a_gap() {
+    SessionWorld world(kHosts);
+    world.store().keep_copy();
+    move_duty(world);
+    const std::size_t holder = duty_holder(world);
+    const auto callers = world.open_sessions(SessionWorld::kPrimaryReads);
+    world.run_for(2 * kSecond);
+    world.store().restore_copy();
+    world.store().remove(kDutyKey);
+    world.publish_again();
+    for (int step = 0; step < 100; ++step) {
+      for (const std::size_t caller : callers) {
+        CPPUNIT_ASSERT(!world.send_and_wait(caller, StatementKind::kRead).error.has_value());
+      }
+      world.run_for(std::chrono::milliseconds(30));
+    }
+    CPPUNIT_ASSERT(holds_duty(world, holder));
+    expect_no_violations(world);
+  }
+
   // Guards against a host whose record is missing for good, because the renewals of its lost lease renew that of
   // another.
   void lost_record_of_a_host_is_written_again_although_its_lease_was_given_out_again() {
