Record announced leaders again that a restored store has lost

What callers would see: a fleet that starts anew after the store lost the record of the newest leader takes the one before it for announced, and where a replaced primary goes on, reads there.

Cause: a record was written once, at the announcement, and taken as written for good. Revisions of the lost history stayed known and were expected by later writes.

The holder of the failover duty now compares the announced leaders with the records that the store reports, and writes those that are missing or older. Records and running calls are forgotten when the store was restored. This also repairs records that a former holder announced but did not write before it was lost.

Failed before, passes now: announced_primary_is_recorded_again. Not covered: a whole fleet that starts anew before the holder has written the record, a few milliseconds after the return.

--- a/servers/catalogue/leader_records.cc
+++ b/servers/catalogue/leader_records.cc
@@ -40,6 +40,18 @@
   m_records[group] = {leader, record.revision};
 }
 
+void LeaderRecords::on_store_restored() {
+  m_records.clear();
+  m_running.clear();
+  m_next_attempt = {};
+}
+
+bool LeaderRecords::lacks(const GroupId& group, const GroupLeader& leader) const {
+  const auto wanted = m_wanted.find(group);
+  const bool is_wanted = wanted != m_wanted.end() && wanted->second.term >= leader.term;
+  return !is_wanted && !is_recorded(group, leader.term);
+}
+
 std::optional<GroupLeader> LeaderRecords::recorded(const GroupId& group) const {
   const auto found = m_records.find(group);
   return found == m_records.end() ? std::nullopt : found->second.leader;
--- a/servers/catalogue/leader_records.h
+++ b/servers/catalogue/leader_records.h
@@ -16,7 +16,8 @@
 ///
 /// They let a host that has just started use a primary, and a new holder of the failover duty grant leases on it,
 /// without waiting until the leases of a former holder have run out. An announcement never waits for its record: while
-/// the store is unreachable, hosts learn the leader from each other's reports.
+/// the store is unreachable, hosts learn the leader from each other's reports. A store that was restored from an older
+/// copy may have lost records; the holder of the duty then writes them again.
 class LeaderRecords final : private CoordinationEvents {
  public:
   static constexpr std::string_view kPrefix = "leaders/";
@@ -30,6 +31,13 @@
   /// Notes a change of a key with the prefix kPrefix.
   void on_record(const RecordChanged& record);
 
+  /// Forgets what the store reported and every running call, because the store was restored from an older copy.
+  void on_store_restored();
+
+  /// Returns true if the record of `group` does not name `leader` or a leader of a later term, and is not being
+  /// written.
+  bool lacks(const GroupId& group, const GroupLeader& leader) const;
+
   /// Returns the recorded leader of `group`; nothing if there is no valid record.
   std::optional<GroupLeader> recorded(const GroupId& group) const;
 
--- a/servers/session_host/session_host.cc
+++ b/servers/session_host/session_host.cc
@@ -86,6 +86,7 @@
   m_sessions.set_routing_current(is_view_current, now);
   m_record.on_tick(m_view.is_complete(), now);
   update_duty(now);
+  record_missing_leaders(now);
   m_leaders.on_tick(now);
   m_failover.on_tick(m_sessions.executor().groups(), m_board, duty_token(now), m_fleet_size, is_view_current, now);
   if (m_failover.take_token_rejected()) {
@@ -207,6 +208,7 @@
   m_view.on_store_restored(now);
   m_record.on_store_restored(era, true, now);
   m_duty.on_store_restored(era, is_duty_valid, now);
+  m_leaders.on_store_restored();
 }
 
 void SessionHost::on_store_listed(TimePoint now) {
@@ -290,6 +292,21 @@
   }
 }
 
+void SessionHost::record_missing_leaders(TimePoint now) {
+  if (!duty_token(now).has_value() || m_view.revision() == StoreRevision(0)) {
+    return;
+  }
+  for (const auto& [id, group] : m_sessions.executor().groups()) {
+    if (group.term() == Term(0) || !group.primary().has_value()) {
+      continue;
+    }
+    const GroupLeader leader{*group.primary(), group.term()};
+    if (m_leaders.lacks(id, leader)) {
+      m_leaders.record(id, leader);
+    }
+  }
+}
+
 void SessionHost::on_leader_announced(const GroupId& group, const GroupLeader& leader, TimePoint now) {
   m_announcements_left = kPrimaryAnnouncements;
   m_next_report = now;
--- a/servers/session_host/session_host.h
+++ b/servers/session_host/session_host.h
@@ -141,6 +141,8 @@
   /// Returns true if the store is unreachable for this host and for all hosts whose reports arrive. Nobody else can
   /// then take over the duty, so a lease that could not be renewed remains valid.
   bool store_is_unreachable_for_all(TimePoint now) const;
+  /// As the holder of the failover duty, records announced leaders that the store does not contain.
+  void record_missing_leaders(TimePoint now);
   /// Applies the recorded leader of the group, which has been announced.
   void apply_recorded_leader(const GroupId& group, TimePoint now);
   /// Gives this host the leases that it grants as the holder of the failover duty.
