Do not believe a restored copy about members that it shows as they were

Cause: a listing was applied as the newest state. A restored store shows members as they were some seconds before, until each has written its entry again.

While a restored copy settles (10 s), a listed entry that is older than what is known is passed over: of an earlier life, ready although leaving, or removed since. Entries that are written count at once. After that time the store is listed once more and taken as it is, so a wrong belief cannot last.

Failed before, passes now: leaving_member_stays_leaving.

--- a/servers/catalogue/store_view.cc
+++ b/servers/catalogue/store_view.cc
@@ -23,6 +23,12 @@
     : m_store(store), m_events(events), m_counters(counters), m_log(log), m_random(random_seed) {}
 
 void StoreView::on_tick(TimePoint now) {
+  if (m_settled_listing_at.has_value() && now >= *m_settled_listing_at) {
+    m_settled_listing_at.reset();
+    m_call.reset();
+    m_revision.reset();
+    m_next_attempt = now;
+  }
   if (!m_call.has_value() && now >= m_next_attempt) {
     start_call();
   }
@@ -46,9 +52,14 @@
   m_next_attempt = now;
   m_reachable_again_at = now;
   m_settled_at = now + kReregistrationTime;
+  const auto spread = std::chrono::duration_cast<Duration>(kSettledListingSpread * m_random.next_double());
+  m_settled_listing_at = now + kCopySettlingTime + spread;
 }
 
-TimePoint StoreView::next_wakeup() const { return m_call.has_value() ? TimePoint::max() : m_next_attempt; }
+TimePoint StoreView::next_wakeup() const {
+  const TimePoint next_call = m_call.has_value() ? TimePoint::max() : m_next_attempt;
+  return std::min(next_call, m_settled_listing_at.value_or(TimePoint::max()));
+}
 
 bool StoreView::is_current(TimePoint now) const {
   return m_listed_once && now < m_answered_at + m_watch_wait + kAnswerMargin;
@@ -107,12 +118,7 @@
     m_list_revision = page.as_of;
   }
   for (const StoreChange& item : page.items) {
-    if (const auto* seen = std::get_if<MemberUpdated>(&item)) {
-      m_listed_members.insert(seen->entry.member);
-    } else if (const auto* record = std::get_if<RecordChanged>(&item)) {
-      m_listed_records.insert(record->key);
-    }
-    apply(item, now);
+    apply_listed(item, now);
   }
   if (page.next_after.has_value()) {
     list_page(*page.next_after);
@@ -121,17 +127,30 @@
   finish_list(now);
 }
 
+void StoreView::apply_listed(const StoreChange& item, TimePoint now) {
+  if (const auto* seen = std::get_if<MemberUpdated>(&item)) {
+    m_listed_members.insert(seen->entry.member);
+    if (lists_unsettled_copy() && m_members.is_outdated(seen->entry)) {
+      m_counters.count("store_entries_outdated");
+      return;
+    }
+  } else if (const auto* record = std::get_if<RecordChanged>(&item)) {
+    m_listed_records.insert(record->key);
+  }
+  apply(item, now);
+}
+
 void StoreView::finish_list(TimePoint now) {
   m_revision = m_list_revision;
   m_listed_once = true;
   m_log.log_state_change("store_listed", {{"revision", std::to_string(m_revision->value())},
                                           {"members", std::to_string(m_listed_members.size())},
                                           {"records", std::to_string(m_listed_records.size())}});
-  const std::set<MemberId> members = m_members;
-  for (const MemberId& member : members) {
-    if (!m_listed_members.contains(member)) {
-      apply(MemberRemoved{member}, now);
+  for (const MemberId& member : m_members.missing_in(m_listed_members)) {
+    if (lists_unsettled_copy()) {
+      m_members.on_lost(member);
     }
+    apply(MemberRemoved{member}, now);
   }
   const std::map<std::string, StoreRevision> records = m_records;
   for (const auto& [key, revision] : records) {
@@ -184,11 +203,11 @@
 void StoreView::apply(const StoreChange& change, TimePoint now) {
   std::visit(Overloaded{[&](const RoutingChanged& routing) { m_events.on_routing(routing.table, now); },
                         [&](const MemberUpdated& seen) {
-                          m_members.insert(seen.entry.member);
+                          m_members.on_updated(seen.entry);
                           m_events.on_member(seen.entry, now);
                         },
                         [&](const MemberRemoved& gone) {
-                          m_members.erase(gone.member);
+                          m_members.on_removed(gone.member, now);
                           m_events.on_member_missing(gone.member, was_unreachable(now), now);
                         },
                         [&](const RecordChanged& record) {
--- a/servers/catalogue/store_view.h
+++ b/servers/catalogue/store_view.h
@@ -11,6 +11,7 @@
 #include "core/ports/coordination_port.h"
 #include "core/ports/event_log_port.h"
 #include "core/random_sequence.h"
+#include "servers/catalogue/known_members.h"
 
 namespace teaselrudder {
 
@@ -58,6 +59,12 @@
   /// calls of all hosts together to 200 a second, up to the number of hosts at which the maximum applies.
   static constexpr Duration kWatchDelayPerHost = std::chrono::milliseconds(5);
   static constexpr Duration kMaxWatchDelay = std::chrono::milliseconds(500);
+  /// Time after a restoration in which entries of members that a listing shows may be older than what is known of them.
+  /// The store is then listed once more, and that listing is taken as it is. Owners have written their entries again by
+  /// then, and those of members that left before the restoration have expired.
+  static constexpr Duration kCopySettlingTime = std::chrono::seconds(10);
+  /// The listings at its end are spread at random over this time, so that not all hosts call at once.
+  static constexpr Duration kSettledListingSpread = std::chrono::seconds(2);
   /// Bounds of the exponential backoff after a failed call.
   static constexpr Duration kMinRetryDelay = std::chrono::milliseconds(100);
   static constexpr Duration kMaxRetryDelay = std::chrono::milliseconds(800);
@@ -110,6 +117,9 @@
 
  private:
   void start_call();
+  /// Returns true if a listing shows a restored copy, whose entries of members may be outdated.
+  bool lists_unsettled_copy() const { return m_settled_listing_at.has_value(); }
+  void apply_listed(const StoreChange& item, TimePoint now);
   void list_page(const std::string& after);
   void on_page(const StorePage& page, TimePoint now);
   void finish_list(TimePoint now);
@@ -133,7 +143,7 @@
   std::set<MemberId> m_listed_members;
   std::set<std::string> m_listed_records;
   /// Members and records that the store is known to hold, used to find those that a new listing no longer contains.
-  std::set<MemberId> m_members;
+  KnownMembers m_members;
   std::map<std::string, StoreRevision> m_records;
   Duration m_watch_delay{0};
   Duration m_watch_wait = kMinWatchWait;
@@ -145,6 +155,8 @@
   std::optional<TimePoint> m_unreachable_since;
   TimePoint m_reachable_again_at;
   TimePoint m_settled_at;
+  /// When the store is listed once more after a restoration.
+  std::optional<TimePoint> m_settled_listing_at;
 };
 
 }  // namespace teaselrudder
