Write the configuration back to a store that has lost it

What operators would see on entry hosts with the etcd form of the store: every change refused (configuration_conflict: based on version 3, but the store holds version 1), or accepted through a host that has just started and never in force on the others, whose version is higher.

Cause: hosts never go back to a lower version, but took the document in the store for the newest one by definition. After a restoration it is not.

A host that reads a lower version than its own writes its own back by compare-and-swap on the revision that it read; a relay does so for a missing document too. A late answer does no harm, because its revision has been replaced.

--- a/misc/measure/store_model.h
+++ b/misc/measure/store_model.h
@@ -44,6 +44,10 @@
     notify_watches();
   }
 
+  /// Replaces the document and its revisions by those of `copy`, as if the store had been restored from it. Watches are
+  /// not notified: they wait for revisions above those that were lost.
+  void restore(const StoreValue& copy) { m_value = copy; }
+
   tl::expected<StoreValue, StoreError> read(std::mt19937_64& random) {
     ++reads;
     if (down) {
--- a/servers/configuration/configuration_manager.cc
+++ b/servers/configuration/configuration_manager.cc
@@ -103,6 +103,9 @@
   m_read_failures = 0;
   const ConfigurationVersion before = m_current.version;
   static_cast<void>(adopt_document(*outcome, "the store", now));
+  if (!outcome->value.has_value() && before > ConfigurationVersion()) {
+    write_back(*outcome);
+  }
   if (m_watch.has_value() && m_current.version > before) {
     // The watch should have reported this version, so it is restarted. An unnecessary restart is harmless.
     m_context.counters.count("configuration_watches_silent");
@@ -119,9 +122,23 @@
 void ConfigurationManager::on_store_swapped(StoreCallId call,
                                             const tl::expected<CompareAndSwapResult, StoreError>& outcome,
                                             TimePoint now) {
+  if (m_write_back_call == call) {
+    // After a failure, the next read shows whether the store still holds an older version.
+    m_write_back_call.reset();
+    return;
+  }
   m_changes.on_store_swapped(call, outcome, now);
 }
 
+void ConfigurationManager::write_back(const StoreValue& value) {
+  if (m_write_back_call.has_value()) {
+    return;
+  }
+  m_context.counters.count("configurations_written_back");
+  m_write_back_call = m_context.ids.next<StoreCallId>();
+  m_context.store.compare_and_swap(*m_write_back_call, m_key, value.modified, configuration_to_json(m_current));
+}
+
 void ConfigurationManager::on_store_changed(WatchId watch, const StoreValue& value, TimePoint now) {
   if (m_watch == watch) {
     static_cast<void>(adopt_document(value, "the store's watch", now));
@@ -188,6 +205,9 @@
   if (configuration.has_value()) {
     adopt(*configuration, source, now);
   }
+  if (configuration.has_value() && configuration->version < m_current.version) {
+    write_back(value);
+  }
   return configuration;
 }
 
--- a/servers/configuration/configuration_manager.h
+++ b/servers/configuration/configuration_manager.h
@@ -50,7 +50,8 @@
 };
 
 /// Manages the configuration of one host. A version from any source is adopted only if it is higher than the current
-/// one. Changes are written to the platform's store.
+/// one. Changes are written to the platform's store. A store that was restored from an older copy may hold an older
+/// version than the hosts; the first host that reads it writes its own version back.
 ///
 /// In each failure domain, the kRelays hosts that rank highest in rendezvous hashing are relays, which watch the
 /// document in the store. All other hosts learn new versions from the relays and from probes.
@@ -113,6 +114,8 @@
   void change_finished(ChangeNumber change, const ChangeOutcome& outcome, TimePoint now) override;
 
   tl::expected<Configuration, std::string> parse(const std::string& document, const std::string& source);
+  /// Replaces the document that was read as `value` by the current configuration.
+  void write_back(const StoreValue& value);
   std::vector<HostId> relays_of(const FailureDomainId& domain) const;
   void announce(const std::string& source);
   void fetch_newest();
@@ -133,6 +136,7 @@
   bool m_fetching = false;
   bool m_is_relay = false;
   std::optional<StoreCallId> m_read_call;
+  std::optional<StoreCallId> m_write_back_call;
   std::optional<TimePoint> m_next_read;
   std::uint32_t m_read_failures = 0;
   std::optional<WatchId> m_watch;
