Refuse deeply nested numbers from the store instead of writing them out

What operators would see: entry hosts with the etcd form of the store end again and again while one entry in the platform's list of hosts is odd (another operator's report).

Cause: a number that is not a string was written out as text to be parsed. For a value that nests 300,000 levels deep that recursion ends the process.

Only strings and integers are read now. Tried on entries of members, hosts and the document of the configuration, with nesting, numbers that are too large, ports out of range and bytes that are no text. deep_nesting_and_excessive_numbers_are_refused ended the test program before (signal 11); odd_entries_of_other_writers_hide_no_member, the same for the platform's form, passed at its first run.

--- a/drivers/store/etcd_json.cc
+++ b/drivers/store/etcd_json.cc
@@ -51,10 +51,12 @@
   if (found == object.end()) {
     return 0;
   }
-  if (found->is_number_integer() && !found->is_number_unsigned()) {
+  constexpr std::uint64_t kMaxNumber = std::numeric_limits<std::int64_t>::max();
+  if (found->is_number_integer() && (!found->is_number_unsigned() || found->get<std::uint64_t>() <= kMaxNumber)) {
     return found->get<std::int64_t>();
   }
-  const std::string text = found->is_string() ? found->get<std::string>() : found->dump();
+  // Writing a value of another type out as text would recurse as deep as the value nests.
+  const std::string text = found->is_string() ? found->get<std::string>() : std::string();
   std::int64_t number = 0;
   const auto result = std::from_chars(text.data(), text.data() + text.size(), number);
   if (text.empty() || result.ec != std::errc() || result.ptr != text.data() + text.size()) {
--- a/tests/drivers/etcd_json_test.cc
+++ b/tests/drivers/etcd_json_test.cc
@@ -32,10 +32,28 @@
   CPPUNIT_TEST(rejects_wrong_fields);
   CPPUNIT_TEST(round_trips_host_lists);
   CPPUNIT_TEST(rejects_wrong_host_lists);
+  CPPUNIT_TEST(deep_nesting_and_excessive_numbers_are_refused);
   CPPUNIT_TEST(call_budget_never_exceeds_rate_and_burst);
   CPPUNIT_TEST_SUITE_END();
 
  public:
+  // Guards against a host that ends again and again because of one entry that another writer left in the store.
+  void deep_nesting_and_excessive_numbers_are_refused() {
+    constexpr std::size_t kDepth = 300000;
+    const std::string nested = std::string(kDepth, '[') + std::string(kDepth, ']');
+    for (const std::string& odd :
+         {nested, std::string("1e999"), std::string("18446744073709551616"), std::string("-9223372036854775809")}) {
+      CPPUNIT_ASSERT(!decode_range(replaced(kRangeResponse, "\"7\"", odd), "k").has_value());
+      CPPUNIT_ASSERT(!decode_range(replaced(kRangeResponse, "\"9\"", odd), "k").has_value());
+      CPPUNIT_ASSERT(!decode_compare_and_swap(replaced(kSwapResponse, "\"8\"", odd), "k", "v").has_value());
+      CPPUNIT_ASSERT(!decode_watch_line(replaced(kWatchLine, "\"8\"", odd), "k").has_value());
+      CPPUNIT_ASSERT(!decode_host_list(replaced(kHostList, "3", odd)).has_value());
+      CPPUNIT_ASSERT(!decode_host_list(replaced(kHostList, "7000", odd)).has_value());
+    }
+    CPPUNIT_ASSERT(!decode_host_list(nested).has_value());
+    CPPUNIT_ASSERT(!decode_range(replaced(kRangeResponse, "\"9\"", "9223372036854775808"), "k").has_value());
+  }
+
   // Guards against values that change on their way to the store and back.
   void base64_round_trips() {
     CPPUNIT_ASSERT(rc::check([](const std::string& bytes) {
--- a/tests/platform/kv_json_test.cc
+++ b/tests/platform/kv_json_test.cc
@@ -28,6 +28,7 @@
   CPPUNIT_TEST(parses_member_entry);
   CPPUNIT_TEST(rejects_entries_that_are_not_members);
   CPPUNIT_TEST(parses_pages_and_events);
+  CPPUNIT_TEST(odd_entries_of_other_writers_hide_no_member);
   CPPUNIT_TEST(arbitrary_bytes_never_crash);
   CPPUNIT_TEST_SUITE_END();
 
@@ -88,6 +89,42 @@
     CPPUNIT_ASSERT(!decode_changes("{\"events\":[]}", malformed).has_value());
   }
 
+  // Guards against a host that ends, or no longer follows the members, because of one entry that another writer left.
+  void odd_entries_of_other_writers_hide_no_member() {
+    constexpr std::size_t kDepth = 300000;
+    const std::string nested = std::string(kDepth, '[') + std::string(kDepth, ']');
+    const std::string objects = [] {
+      std::string text;
+      for (std::size_t level = 0; level < kDepth; ++level) {
+        text += R"({"a":)";
+      }
+      return text;
+    }();
+    const auto replaced = [](std::string text, const std::string& from, const std::string& to) {
+      return text.replace(text.find(from), from.size(), to);
+    };
+    for (const std::string& odd :
+         {nested, objects, replaced(kMember, "\"slots\":3", "\"slots\":" + nested),
+          replaced(kMember, "\"slots\":3", "\"slots\":1e999"), replaced(kMember, "\"slots\":3", "\"slots\":1e30"),
+          replaced(kMember, "\"slots\":3", "\"slots\":18446744073709551616"), replaced(kMember, "8080", "65536"),
+          replaced(kMember, "8080", "0"), replaced(kMember, "8080", "99999999999999999999"),
+          std::string("\xff\xfe\x00", 3)}) {
+      std::size_t malformed = 0;
+      const auto page = decode_page("{\"items\":[" + item("servers/i-1", odd) + "," + item("servers/i-2", kMember) +
+                                        "],\"has_more\":false,\"as_of\":530}",
+                                    malformed);
+      CPPUNIT_ASSERT(page.has_value() && page->items.size() == 2);
+      CPPUNIT_ASSERT_EQUAL(std::size_t{1}, malformed);
+      CPPUNIT_ASSERT(std::holds_alternative<MemberRemoved>(page->items[0]));
+      CPPUNIT_ASSERT(std::holds_alternative<MemberUpdated>(page->items[1]));
+    }
+    // An odd value in a field that need not be there leaves the member usable.
+    for (const std::string& odd : {nested, std::string("1e30"), std::string("18446744073709551615")}) {
+      CPPUNIT_ASSERT(decode_member("i-1", replaced(kMember, "1234567890123", odd)).has_value());
+      CPPUNIT_ASSERT(decode_member("i-1", replaced(kMember, "\"warmup_left_ms\":0", "\"warmup_left_ms\":" + odd)));
+    }
+  }
+
   // Guards against a crash on malformed input from the network.
   void arbitrary_bytes_never_crash() {
     CPPUNIT_ASSERT(rc::check([](const std::string& bytes) {
