Replace a leaving primary only by a member that stays longer

What callers would see: writes interrupted for 0.3 s every 0.4 s while all members of a group are leaving, or seem to be.

Cause: a leaving primary was replaced whenever it was leaving, also by a replica that was leaving itself, which was then replaced in turn.

A planned replacement now begins only if some replica stays longer than the primary, and among replicas with the same log the one that stays longest is promoted.

leaving_members_do_not_take_the_lead_in_turn failed before (more than two promotions in 5 s).

--- a/servers/failover/failover_duty.cc
+++ b/servers/failover/failover_duty.cc
@@ -22,6 +22,16 @@
   return all;
 }
 
+/// Returns true if some replica is not leaving, or started to leave after `primary`. Replacing the primary by any other
+/// replica would only have to be repeated.
+bool has_replica_that_stays_longer(const UpstreamGroup& group, const UpstreamMember& primary) {
+  return std::any_of(group.members().begin(), group.members().end(), [&primary](const auto& known) {
+    const UpstreamMember& member = known.second;
+    return !member.missing_since.has_value() &&
+           (!member.leaving_since.has_value() || member.leaving_since > primary.leaving_since);
+  });
+}
+
 bool answered_within(const std::vector<PrimaryEvidence>& all, Duration limit) {
   return std::any_of(all.begin(), all.end(), [limit](const PrimaryEvidence& evidence) {
     return evidence.last_answer_age.has_value() && *evidence.last_answer_age < limit;
@@ -199,7 +209,7 @@
     replacement.begin(ReplacementReason::kNoPrimary, monitor.leader, now);
   } else if (primary == nullptr) {
     return;
-  } else if (primary->leaving_since.has_value()) {
+  } else if (primary->leaving_since.has_value() && has_replica_that_stays_longer(group, *primary)) {
     replacement.begin(ReplacementReason::kLeaving, monitor.leader, now);
   } else if (monitor.stopped_replica) {
     monitor.stopped_replica = false;
--- a/servers/failover/primary_replacement.cc
+++ b/servers/failover/primary_replacement.cc
@@ -325,14 +325,14 @@
 }
 
 void PrimaryReplacement::choose_candidate(const UpstreamGroup& group) {
-  const auto is_leaving = [&group](const MemberId& member) {
+  const auto leaves_at = [&group](const MemberId& member) {
     const UpstreamMember* const known = group.find(member);
-    return known == nullptr || known->leaving_since.has_value();
+    return known == nullptr ? TimePoint() : known->leaving_since.value_or(TimePoint::max());
   };
   const auto is_ordered = [this](const MemberId& member) {
     return m_unanswered_promotion.has_value() && m_unanswered_promotion->first == member;
   };
-  const auto better = [&is_leaving, &is_ordered](const auto& left, const auto& right) {
+  const auto better = [&leaves_at, &is_ordered](const auto& left, const auto& right) {
     if (left.second != right.second) {
       return left.second < right.second;
     }
@@ -340,7 +340,7 @@
       // The earlier order for this member may still take effect, so another member could not keep its role.
       return is_ordered(right.first);
     }
-    return is_leaving(left.first) && !is_leaving(right.first);
+    return leaves_at(left.first) < leaves_at(right.first);
   };
   m_candidate = std::max_element(m_stopped.begin(), m_stopped.end(), better)->first;
 }
--- a/tests/servers/sessions/session_host_test.cc
+++ b/tests/servers/sessions/session_host_test.cc
@@ -25,6 +25,7 @@
   CPPUNIT_TEST(idle_transaction_is_ended_and_reported);
   CPPUNIT_TEST(writes_resume_after_the_primary_is_lost);
   CPPUNIT_TEST(leaving_primary_is_replaced_before_its_shutdown);
+  CPPUNIT_TEST(leaving_members_do_not_take_the_lead_in_turn);
   CPPUNIT_TEST(planned_replacement_waits_for_replication_of_the_last_commits);
   CPPUNIT_TEST(primary_is_not_replaced_for_commits_without_a_waiting_caller);
   CPPUNIT_TEST(failover_works_with_reports_on_many_groups);
@@ -211,6 +212,23 @@
     expect_no_violations(world);
   }
 
+  // Guards against a group whose members are all leaving and that spends its last seconds in planned replacements.
+  void leaving_members_do_not_take_the_lead_in_turn() {
+    SessionWorld world(3);
+    const std::size_t caller = world.open_session(1, SessionWorld::kPrimaryReads);
+    for (std::size_t index = 0; index < world.members().size(); ++index) {
+      world.members().member(index).entry.leaving = true;
+      world.publish_members();
+      world.run_for(std::chrono::milliseconds(200));
+    }
+    const TimePoint all_leaving_since = world.events().now();
+    while (world.events().now() < all_leaving_since + 5 * kSecond) {
+      world.send_and_wait(caller, StatementKind::kWrite);
+    }
+    CPPUNIT_ASSERT(world.members().promotions() <= 2);
+    expect_no_violations(world);
+  }
+
   // Guards against replicas that are stopped while the last commits of a primary that steps down are still being
   // replicated. No replica then has the complete log, so the leaving primary is promoted again, and the next attempt
   // has the same problem.
