Restore the store from older copies in the random runs and the soak

The stand-in of the platform's store keeps copies and can be restored from one: later revisions and lease numbers are given out again, and Store-Era rises in all its answers.

--- a/servers/catalogue/store_view.h
+++ b/servers/catalogue/store_view.h
@@ -62,9 +62,9 @@
   /// Time after a restoration in which entries of members that a listing shows may be older than what is known of them.
   /// The store is then listed once more, and that listing is taken as it is. Owners have written their entries again by
   /// then, and those of members that left before the restoration have expired.
-  static constexpr Duration kCopySettlingTime = std::chrono::seconds(10);
+  static constexpr Duration kCopySettlingTime = std::chrono::seconds(5);
   /// The listings at its end are spread at random over this time, so that not all hosts call at once.
-  static constexpr Duration kSettledListingSpread = std::chrono::seconds(2);
+  static constexpr Duration kSettledListingSpread = std::chrono::seconds(1);
   /// Bounds of the exponential backoff after a failed call.
   static constexpr Duration kMinRetryDelay = std::chrono::milliseconds(100);
   static constexpr Duration kMaxRetryDelay = std::chrono::milliseconds(800);
--- a/tests/servers/sessions/session_host_random_test.cc
+++ b/tests/servers/sessions/session_host_random_test.cc
@@ -27,12 +27,18 @@
   kUnfenced,  // It goes on in its term, and they are not.
 };
 
+/// Whether the store may come back from an older copy.
+enum class StoreLoss { kNone, kRestored };
+
 /// One run: callers send random statements while members, hosts and the store fail at random. Where the outside is not
 /// fenced, hosts and members are also partitioned.
 class RandomRun {
  public:
-  RandomRun(std::uint64_t seed, Outside outside)
-      : m_random(seed), m_world(kHosts, seed, {.fenced = outside == Outside::kFenced}), m_outside(outside) {}
+  RandomRun(std::uint64_t seed, Outside outside, StoreLoss loss)
+      : m_random(seed),
+        m_world(kHosts, seed, {.fenced = outside == Outside::kFenced}),
+        m_outside(outside),
+        m_loss(loss) {}
 
   std::vector<std::string> execute() {
     for (int step = 0; step < kSteps; ++step) {
@@ -126,7 +132,7 @@
       change_partition(index);
       return;
     }
-    const std::size_t kind = random_below(11);
+    const std::size_t kind = random_below(m_loss == StoreLoss::kRestored ? 14 : 11);
     m_world.add_to_trace("fault " + std::to_string(kind) + " member " + std::to_string(index));
     switch (kind) {
       case 0:
@@ -163,11 +169,28 @@
       case 9:
         kill_or_restart_host();
         return;
-      default:
+      case 10:
         m_world.store().drop_history();
         m_world.drops_reports = random_below(4) == 0;
         return;
+      case 11:
+      case 12:
+        m_world.store().keep_copy();
+        return;
+      default:
+        restore_store();
+        return;
+    }
+  }
+
+  /// Restores the store from its copy, if there is one. Its writers write again what is lost, a little later.
+  void restore_store() {
+    if (!m_world.store().has_copy()) {
+      return;
     }
+    m_world.store().restore_copy();
+    m_world.events().at(m_world.events().now() + std::chrono::milliseconds(random_below(1500)),
+                        [this] { m_world.publish_again(); });
   }
 
   void change_partition(std::size_t member) {
@@ -226,6 +249,7 @@
   std::mt19937_64 m_random;
   SessionWorld m_world;
   Outside m_outside;
+  StoreLoss m_loss;
   std::set<std::size_t> m_stopped_hosts;
   int m_crashed_members = 0;
 };
@@ -234,6 +258,8 @@
   CPPUNIT_TEST_SUITE(SessionHostRandomTest);
   CPPUNIT_TEST(guarantees_hold_under_random_faults);
   CPPUNIT_TEST(guarantees_hold_without_fences);
+  CPPUNIT_TEST(guarantees_hold_with_restored_stores);
+  CPPUNIT_TEST(guarantees_hold_with_restored_stores_and_without_fences);
   CPPUNIT_TEST(commits_of_a_lost_replica_survive_a_change_of_the_duty_holder);
   CPPUNIT_TEST_SUITE_END();
 
@@ -259,14 +285,28 @@
     CPPUNIT_ASSERT_MESSAGE("too few runs replaced a primary", promotions > 10);
   }
 
+  // Guards against beliefs about the store that outlive a restoration from an older copy, beside all other faults.
+  void guarantees_hold_with_restored_stores() {
+    for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+      expect_no_violations(seed, Outside::kFenced, StoreLoss::kRestored);
+    }
+  }
+
+  // Guards against the same where nothing but the hosts themselves keeps promotions in order.
+  void guarantees_hold_with_restored_stores_and_without_fences() {
+    for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+      expect_no_violations(seed, Outside::kUnfenced, StoreLoss::kRestored);
+    }
+  }
+
   // Guards against the loss of commits that only a lost replica and a leaving primary hold, if another host takes over
   // the failover duty meanwhile.
   void commits_of_a_lost_replica_survive_a_change_of_the_duty_holder() { expect_no_violations(234, Outside::kFenced); }
 
  private:
   /// Executes the run with the given seed and returns the number of promotions.
-  static std::uint64_t expect_no_violations(std::uint64_t seed, Outside outside) {
-    RandomRun run(seed, outside);
+  static std::uint64_t expect_no_violations(std::uint64_t seed, Outside outside, StoreLoss loss = StoreLoss::kNone) {
+    RandomRun run(seed, outside, loss);
     const std::vector<std::string> violations = run.execute();
     if (!violations.empty()) {
       print(run.trace());
--- a/tests/soak/soak_network.cc
+++ b/tests/soak/soak_network.cc
@@ -17,6 +17,9 @@
 /// Time after which the entry of a stopped member is removed.
 constexpr Duration kEntryTimeToLive = std::chrono::milliseconds(1800);
 
+/// Time between two copies of the store that are kept for restorations.
+constexpr Duration kCopyInterval = std::chrono::milliseconds(500);
+
 /// Each run uses one of kMaxConcurrentRuns ranges of ports from kFirstPort on. They lie below the system's ephemeral
 /// ports, since an outgoing connection could otherwise take the port of a host that is down.
 constexpr std::uint16_t kFirstPort = 10000;
@@ -122,14 +125,25 @@
                       {"priority", 1},
                       {"max_staleness_ms", 1500}});
   }
-  const nlohmann::json configuration = {
+  m_configuration = {
       {"version", ++m_version},
       {"routes", routes},
       {"services",
        nlohmann::json::array(
            {{{"name", m_members.group().value()}, {"max_conns", m_members.max_connections}, {"sync_replicas", 1}}})},
       {"limits", {{"tx_idle_ms", 3000}}}};
-  m_store.put("op/config", configuration.dump());
+  m_store.put("op/config", m_configuration.dump());
+}
+
+void SoakNetwork::restore_store(Duration age, Duration delay) {
+  m_store.restore_copy(age, m_events.now());
+  m_events.at(m_events.now() + delay, [this] {
+    m_store.put("op/config", m_configuration.dump());
+    // Members that run write their entries again; those of others expire.
+    for (std::size_t index = 0; index < m_published.size(); ++index) {
+      m_published[index] = m_members.member(index).alive ? "" : "an entry of the copy";
+    }
+  });
 }
 
 std::string SoakNetwork::member_key(std::size_t index) const {
@@ -167,11 +181,16 @@
 
 void SoakNetwork::on_tick() {
   m_store.expire_leases(m_events.now());
+  if (m_next_copy <= m_events.now()) {
+    m_next_copy = m_events.now() + kCopyInterval;
+    m_store.keep_copy(m_events.now());
+  }
   publish_members();
-  if (m_store.revision() == m_notified_revision) {
+  const std::pair state(m_store.era(), m_store.revision());
+  if (state == m_notified_state) {
     return;
   }
-  m_notified_revision = m_store.revision();
+  m_notified_state = state;
   for (HostEnvironment& environment : m_hosts) {
     environment.platform->on_store_changed();
   }
--- a/tests/soak/soak_network.h
+++ b/tests/soak/soak_network.h
@@ -4,7 +4,9 @@
 
 #include <cstdint>
 #include <memory>
+#include <nlohmann/json.hpp>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "tests/model/replicated_members.h"
@@ -42,6 +44,8 @@
 
   /// Writes the operator's configuration to the store with a new version.
   void publish_configuration();
+  /// Restores the store from a copy that is about `age` old. Its writers write again what is lost after `delay`.
+  void restore_store(Duration age, Duration delay);
   /// Writes the entry of a member to the store if it changed.
   void publish_member(std::size_t index);
   /// Writes changed entries of running members, and removes the entries of members that have been down for too long.
@@ -63,7 +67,10 @@
   std::vector<HostEnvironment> m_hosts;
   std::uint64_t m_last_connection = 0;
   std::uint64_t m_version = 0;
-  std::int64_t m_notified_revision = 0;
+  nlohmann::json m_configuration;
+  /// Era and revision of the store that the hosts were last told of.
+  std::pair<std::uint64_t, std::int64_t> m_notified_state;
+  TimePoint m_next_copy;
   std::vector<std::string> m_published;
   std::vector<TimePoint> m_last_alive_at;
 };
--- a/tests/soak/soak_run.cc
+++ b/tests/soak/soak_run.cc
@@ -20,6 +20,9 @@
 /// Time from publishing the entry of a restarted member until it accepts connections and receives the log.
 constexpr Duration kRegistrationTime = std::chrono::milliseconds(200);
 constexpr Duration kMaxStaleness = std::chrono::milliseconds(1500);
+/// Maximum age of the copy from which the store is restored, and maximum time until its writers have noticed.
+constexpr std::size_t kMaxCopyAgeMs = 12000;
+constexpr std::size_t kMaxRewriteDelayMs = 1500;
 /// Time for which a leaving member continues to serve.
 constexpr Duration kLeavingTime = std::chrono::seconds(4);
 
@@ -379,7 +382,7 @@
 }
 
 void SoakRun::inject_platform_fault() {
-  switch (random_below(5)) {
+  switch (random_below(m_settings.restores_store ? 8 : 5)) {
     case 0:
     case 1: {
       const auto fault = static_cast<testing::PlatformFault>(1 + random_below(4));
@@ -412,10 +415,16 @@
         m_network->host(host).platform->reset_connections();
       }
       return;
-    default:
+    case 4:
       begin_fault("new configuration");
       m_network->publish_configuration();
       return;
+    default: {
+      const Duration age = std::chrono::milliseconds(random_below(kMaxCopyAgeMs));
+      begin_fault("store restored from a copy " + std::to_string(to_milliseconds(age)) + " ms old");
+      m_network->restore_store(age, std::chrono::milliseconds(random_below(kMaxRewriteDelayMs)));
+      return;
+    }
   }
 }
 
--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -22,6 +22,8 @@
   std::size_t callers = 24;
   /// A replaced primary stops at once, and promotions with outdated tokens are rejected.
   bool fenced = true;
+  /// The platform's store may come back from an older copy.
+  bool restores_store = false;
   /// Path of the executable that each host runs.
   std::string program;
   /// Existing folder for the settings and logs of the hosts.
--- a/tests/stand_ins/http_text.cc
+++ b/tests/stand_ins/http_text.cc
@@ -47,10 +47,10 @@
   return request;
 }
 
-std::string http_response_text(int status, const std::string& body) {
+std::string http_response_text(int status, const std::string& body, const std::string& extra_headers) {
   return "HTTP/1.1 " + std::to_string(status) +
-         " Status\r\ncontent-type: application/json\r\ncontent-length: " + std::to_string(body.size()) + "\r\n\r\n" +
-         body;
+         " Status\r\ncontent-type: application/json\r\ncontent-length: " + std::to_string(body.size()) + "\r\n" +
+         extra_headers + "\r\n" + body;
 }
 
 }  // namespace teaselrudder::testing
--- a/tests/stand_ins/http_text.h
+++ b/tests/stand_ins/http_text.h
@@ -19,7 +19,7 @@
 /// Removes the first request from `input` and returns it, or returns nothing if it is incomplete.
 std::optional<HttpRequestText> take_http_request(std::string& input);
 
-/// Returns the text of a response with a JSON body.
-std::string http_response_text(int status, const std::string& body);
+/// Returns the text of a response with a JSON body. Each of `extra_headers` ends with a line break.
+std::string http_response_text(int status, const std::string& body, const std::string& extra_headers = {});
 
 }  // namespace teaselrudder::testing
--- a/tests/stand_ins/in_memory_kv_store.cc
+++ b/tests/stand_ins/in_memory_kv_store.cc
@@ -18,36 +18,59 @@
 }
 
 void InMemoryKvStore::put(const std::string& key, const std::string& value) {
-  ++m_revision;
+  ++m_contents.revision;
   write(key, value, 0);
 }
 
 void InMemoryKvStore::remove(const std::string& key) {
-  if (m_items.contains(key)) {
-    ++m_revision;
+  if (m_contents.items.contains(key)) {
+    ++m_contents.revision;
     erase(key);
   }
 }
 
+void InMemoryKvStore::keep_copy(TimePoint now) {
+  m_copies.push_back({m_contents, now});
+  if (m_copies.size() > kMaxCopies) {
+    m_copies.pop_front();
+  }
+}
+
+void InMemoryKvStore::restore_copy(Duration age, TimePoint now) {
+  if (m_copies.empty()) {
+    return;
+  }
+  while (m_copies.size() > 1 && m_copies.back().kept_at > now - age) {
+    m_copies.pop_back();
+  }
+  const Copy copy = m_copies.back();
+  m_copies.clear();
+  m_contents = copy.contents;
+  for (auto& [number, lease] : m_contents.leases) {
+    lease.expires_at += now - copy.kept_at;
+  }
+  ++m_era;
+}
+
 void InMemoryKvStore::write(const std::string& key, const std::string& value, std::uint64_t lease) {
-  Item& item = m_items[key];
-  item.create_revision = item.create_revision == 0 ? m_revision : item.create_revision;
+  Item& item = m_contents.items[key];
+  item.create_revision = item.create_revision == 0 ? m_contents.revision : item.create_revision;
   item.value = value;
-  item.mod_revision = m_revision;
+  item.mod_revision = m_contents.revision;
   item.lease = lease;
-  m_history.push_back({m_revision, key, item});
+  m_contents.history.push_back({m_contents.revision, key, item});
 }
 
 void InMemoryKvStore::erase(const std::string& key) {
-  m_items.erase(key);
-  m_history.push_back({m_revision, key, std::nullopt});
+  m_contents.items.erase(key);
+  m_contents.history.push_back({m_contents.revision, key, std::nullopt});
 }
 
 InMemoryKvStore::Answer InMemoryKvStore::range(const std::string& prefix, const std::string& after,
                                                const View& view) const {
   Json items = Json::array();
   bool more = false;
-  for (auto item = m_items.upper_bound(after); item != m_items.end(); ++item) {
+  for (auto item = m_contents.items.upper_bound(after); item != m_contents.items.end(); ++item) {
     if (!item->first.starts_with(prefix)) {
       continue;
     }
@@ -57,17 +80,17 @@
     }
     items.push_back(to_json(item->first, item->second, view));
   }
-  return {200, {{"items", items}, {"has_more", more}, {"as_of", m_revision}}};
+  return {200, {{"items", items}, {"has_more", more}, {"as_of", m_contents.revision}}};
 }
 
 std::optional<InMemoryKvStore::Answer> InMemoryKvStore::watch(const std::string& prefix, std::int64_t revision,
                                                               const View& view) const {
-  const std::int64_t first = m_history.empty() ? m_revision + 1 : m_history.front().revision;
-  if (revision + 1 < first) {
+  const std::int64_t first = m_contents.history.empty() ? m_contents.revision + 1 : m_contents.history.front().revision;
+  if (revision + 1 < first || revision > m_contents.revision) {
     return Answer{410, Json::object()};
   }
   Json events = Json::array();
-  for (const Event& event : m_history) {
+  for (const Event& event : m_contents.history) {
     if (event.revision <= revision || !event.key.starts_with(prefix)) {
       continue;
     }
@@ -77,7 +100,7 @@
   if (events.empty()) {
     return std::nullopt;
   }
-  return Answer{200, {{"events", events}, {"as_of", m_revision}}};
+  return Answer{200, {{"events", events}, {"as_of", m_contents.revision}}};
 }
 
 InMemoryKvStore::Answer InMemoryKvStore::transact(const Json& request) {
@@ -85,10 +108,10 @@
   bool matches = true;
   for (const Json& expected : request.at("expected")) {
     const std::string key = expected.at("key");
-    const auto item = m_items.find(key);
-    const std::int64_t changed = item == m_items.end() ? 0 : item->second.mod_revision;
+    const auto item = m_contents.items.find(key);
+    const std::int64_t changed = item == m_contents.items.end() ? 0 : item->second.mod_revision;
     matches = matches && changed == expected.at("rev").get<std::int64_t>();
-    if (item != m_items.end()) {
+    if (item != m_contents.items.end()) {
       present.push_back(to_json(key, item->second, [](const auto&, const std::string& value) { return value; }));
     }
   }
@@ -97,11 +120,11 @@
   }
   for (const Json& write : request.at("writes")) {
     const auto lease = write.value("lease", std::uint64_t{0});
-    if (lease != 0 && !m_leases.contains(lease)) {
+    if (lease != 0 && !m_contents.leases.contains(lease)) {
       return {404, Json::object()};
     }
   }
-  ++m_revision;
+  ++m_contents.revision;
   for (const Json& entry : request.at("writes")) {
     write(entry.at("key"), base64_decode(entry.at("value").get<std::string>()).value_or(""),
           entry.value("lease", std::uint64_t{0}));
@@ -109,18 +132,18 @@
   for (const Json& key : request.at("deletes")) {
     erase(key);
   }
-  return {200, {{"rev", m_revision}}};
+  return {200, {{"rev", m_contents.revision}}};
 }
 
 InMemoryKvStore::Answer InMemoryKvStore::grant_lease(const Json& request, TimePoint now) {
   const Duration time_to_live = std::chrono::milliseconds(request.at("ttl_ms").get<std::int64_t>());
-  m_leases[++m_last_lease] = {time_to_live, now + time_to_live};
-  return {200, {{"lease", m_last_lease}, {"ttl_ms", to_milliseconds(time_to_live)}}};
+  m_contents.leases[++m_contents.last_lease] = {time_to_live, now + time_to_live};
+  return {200, {{"lease", m_contents.last_lease}, {"ttl_ms", to_milliseconds(time_to_live)}}};
 }
 
 InMemoryKvStore::Answer InMemoryKvStore::renew_lease(std::uint64_t lease, TimePoint now) {
-  const auto found = m_leases.find(lease);
-  if (found == m_leases.end()) {
+  const auto found = m_contents.leases.find(lease);
+  if (found == m_contents.leases.end()) {
     return {404, Json::object()};
   }
   found->second.expires_at = now + found->second.time_to_live;
@@ -128,17 +151,17 @@
 }
 
 InMemoryKvStore::Answer InMemoryKvStore::end_lease(std::uint64_t lease) {
-  if (m_leases.erase(lease) == 0) {
+  if (m_contents.leases.erase(lease) == 0) {
     return {404, Json::object()};
   }
   std::vector<std::string> ended;
-  for (const auto& [key, item] : m_items) {
+  for (const auto& [key, item] : m_contents.items) {
     if (item.lease == lease) {
       ended.push_back(key);
     }
   }
   if (!ended.empty()) {
-    ++m_revision;
+    ++m_contents.revision;
   }
   for (const std::string& key : ended) {
     erase(key);
@@ -148,7 +171,7 @@
 
 void InMemoryKvStore::expire_leases(TimePoint now) {
   std::vector<std::uint64_t> due;
-  for (const auto& [id, lease] : m_leases) {
+  for (const auto& [id, lease] : m_contents.leases) {
     if (lease.expires_at <= now) {
       due.push_back(id);
     }
--- a/tests/stand_ins/in_memory_kv_store.h
+++ b/tests/stand_ins/in_memory_kv_store.h
@@ -24,6 +24,7 @@
     nlohmann::json body = nlohmann::json::object();
   };
 
+  static constexpr std::size_t kMaxCopies = 32;
   /// Maximum number of items on a page of a listing; small, so that listings have several pages.
   static constexpr std::size_t kPageItems = 4;
 
@@ -31,9 +32,18 @@
   void put(const std::string& key, const std::string& value);
   void remove(const std::string& key);
   /// Discards the history of changes, so that watches from an earlier revision get status 410.
-  void drop_history() { m_history.clear(); }
+  void drop_history() { m_contents.history.clear(); }
 
-  std::int64_t revision() const { return m_revision; }
+  std::int64_t revision() const { return m_contents.revision; }
+  /// Number of the history that the store serves; rises with each restoration.
+  std::uint64_t era() const { return m_era; }
+
+  /// Keeps a copy of the present content. Only the newest kMaxCopies copies are kept.
+  void keep_copy(TimePoint now);
+  /// Replaces the content by the newest copy that is at least `age` old, or the oldest one, as if the store had failed
+  /// and come back. Whatever was written since is gone, and its revisions and lease numbers are given out again. Leases
+  /// of the copy have as much time left as then. Does nothing if there is no copy.
+  void restore_copy(Duration age, TimePoint now);
 
   /// Returns a page of the items that start with `prefix` and come after the key `after`.
   Answer range(const std::string& prefix, const std::string& after, const View& view) const;
@@ -75,11 +85,23 @@
   void write(const std::string& key, const std::string& value, std::uint64_t lease);
   void erase(const std::string& key);
 
-  std::map<std::string, Item> m_items;
-  std::map<std::uint64_t, Lease> m_leases;
-  std::deque<Event> m_history;
-  std::int64_t m_revision = 1;
-  std::uint64_t m_last_lease = 0;
+  /// What the store holds; a copy of it can be restored.
+  struct Contents {
+    std::map<std::string, Item> items;
+    std::map<std::uint64_t, Lease> leases;
+    std::deque<Event> history;
+    std::int64_t revision = 1;
+    std::uint64_t last_lease = 0;
+  };
+  struct Copy {
+    Contents contents;
+    TimePoint kept_at;
+  };
+
+  Contents m_contents;
+  std::uint64_t m_era = 1;
+  /// Oldest first.
+  std::deque<Copy> m_copies;
 };
 
 }  // namespace teaselrudder::testing
--- a/tests/stand_ins/platform_server.cc
+++ b/tests/stand_ins/platform_server.cc
@@ -214,7 +214,8 @@
     connection.close();
     return;
   }
-  const std::string text = http_response_text(answer.status, answer.body.dump());
+  const std::string text =
+      http_response_text(answer.status, answer.body.dump(), "Store-Era: " + std::to_string(m_store.era()) + "\r\n");
   if (m_fault == PlatformFault::kSlow) {
     connection.answer_later(text, kSlowAnswerMs);
   } else {
