Hold a record only under the lease that it was written under

What callers would see: a holder of the failover duty whose record goes when another host's lease ends.

Cause: a write of the lost era that is carried out late stores this host's value under a lease number that may belong to another host by now. The value alone was taken as the proof that the record is held.

Lease and value have to match, when the answer to a write was lost and while the record is held.

Two of the four tests of LeasedRecordTest failed before: late_write_of_a_lost_era_is_not_taken_ for_the_record, record_that_moved_to_another_lease_is_given_up. The other two passed at their first run.

--- a/servers/catalogue/leased_record.cc
+++ b/servers/catalogue/leased_record.cc
@@ -39,7 +39,8 @@
     confirm(record, now);
     return;
   }
-  if (m_state == State::kWriting && m_call == std::nullopt && m_stored_value == m_value) {
+  const bool is_own = m_stored_value == m_value && record.lease == m_lease;
+  if (m_state == State::kWriting && m_call == std::nullopt && is_own) {
     // The store holds this host's value, so the write succeeded and only its answer was lost.
     on_acquired(record.revision, now);
     return;
@@ -49,8 +50,8 @@
   }
   if (!record.value.has_value()) {
     handle_loss("record was removed", now);
-  } else if (*record.value != m_value) {
-    handle_loss("another host holds the record", now);
+  } else if (!is_own) {
+    handle_loss("another host holds the record, or another lease does", now);
   } else {
     m_version = {m_store_era, record.revision};
   }
