Use a token of the store's era in the test of forged leases

The valid token now has the present era and revision 1000; each altered report is refused as before.

--- a/tests/servers/session_host/lease_reports_test.cc
+++ b/tests/servers/session_host/lease_reports_test.cc
@@ -143,7 +143,7 @@
     evidence.primary = MemberId("m0");
     evidence.term = Term(1);
     evidence.lease_remaining = remaining;
-    evidence.lease_token = 1000;
+    evidence.lease_token = to_fencing_token({StoreEra(1), StoreRevision(1000)}).value();
     report.newest_duty_token = evidence.lease_token;
     report.groups = {evidence};
     return report;
