--- a/servers/explain/log_explainer.cc
+++ b/servers/explain/log_explainer.cc
@@ -66,6 +66,8 @@
   std::size_t connection_limit_failures = 0;
   std::size_t connection_failures = 0;
   bool store_unavailable = false;
+  /// True if the store was restored from an older copy in the time before the refusal that is looked at.
+  bool store_restored = false;
   bool primary_leaving = false;
   /// True if a replica was behind in an attempt to run the request.
   bool replica_behind = false;
@@ -118,6 +120,9 @@
   if (context.replica_behind && result.find("replicas were behind") == std::string::npos) {
     result += "; replicas were behind the required log position";
   }
+  if (context.store_restored) {
+    result += "; the platform's store had just come back from an older copy";
+  }
   return result + (context.store_unavailable ? "; the platform's store was unavailable" : "");
 }
 
@@ -157,6 +162,7 @@
       host_state[line.event] = &line;
       if (line.event.starts_with("store_")) {
         context.store_unavailable = line.event == "store_lost";
+        context.store_restored = context.store_restored || (line.event == "store_restored" && age <= kContextWindowMs);
       }
     }
     if (line.field("group") != group || !contains(line.event, kGroupEvents) || age > kContextWindowMs) {
--- a/tests/servers/explain/log_explainer_test.cc
+++ b/tests/servers/explain/log_explainer_test.cc
@@ -30,6 +30,7 @@
   CPPUNIT_TEST(names_the_connection_limit);
   CPPUNIT_TEST(names_a_lost_connection);
   CPPUNIT_TEST(names_an_unavailable_store);
+  CPPUNIT_TEST(names_a_restored_store);
   CPPUNIT_TEST(timeline_shows_a_failover_across_hosts);
   CPPUNIT_TEST(unknown_request_is_not_found);
   CPPUNIT_TEST_SUITE_END();
@@ -176,6 +177,19 @@
     expect_cause(world, caller, "the connection to the member was lost; the write had been sent");
   }
 
+  void names_a_restored_store() {
+    SessionWorld world(3);
+    world.store().keep_copy();
+    const std::size_t caller = world.open_session(0, SessionWorld::kPrimaryReads);
+    world.run_for(kSecond);
+    world.store().restore_copy();
+    world.publish_again();
+    world.run_for(kSecond);
+    world.members().member(0).loses_answers = true;
+    world.send_and_wait(caller, StatementKind::kWrite);
+    expect_cause(world, caller, "had just come back from an older copy");
+  }
+
   void names_an_unavailable_store() {
     SessionWorld world(3);
     const std::size_t caller = world.open_session(0, SessionWorld::kPrimaryReads);
