--- a/servers/session_host/session_host.cc
+++ b/servers/session_host/session_host.cc
@@ -66,7 +66,7 @@
       m_failover({ports.links, ports.read_report, ports.promotions, *this, [this] { m_duty.rewrite(); }, ports.counters,
                   ports.log, m_settings.self, m_settings.promotion_tokens_are_checked},
                  std::move(replacement_chart)),
-      m_ring(m_settings.self, m_settings.domain) {
+      m_hosts(m_settings.self, m_settings.domain, ports.counters) {
   ports.store.set_era_listener(*this);
 }
 
@@ -88,7 +88,8 @@
   update_duty(now);
   record_missing_leaders(now);
   m_leaders.on_tick(now);
-  m_failover.on_tick(m_sessions.executor().groups(), m_board, duty_token(now), m_fleet_size, is_view_current, now);
+  m_failover.on_tick(m_sessions.executor().groups(), m_board, duty_token(now), m_hosts.fleet_size(), is_view_current,
+                     now);
   if (m_failover.take_token_rejected()) {
     m_duty.on_superseded(now);
   }
@@ -135,11 +136,13 @@
 }
 
 bool SessionHost::in_minority(TimePoint now) const {
-  return m_ring.reaches_minority([this, now](const HostId& host) { return m_board.has_fresh_report(host, now); });
+  return m_hosts.ring().reaches_minority(
+      [this, now](const HostId& host) { return m_board.has_fresh_report(host, now); });
 }
 
 double SessionHost::heard_share(TimePoint now) const {
-  return m_ring.reachable_share([this, now](const HostId& host) { return m_board.has_fresh_report(host, now); });
+  return m_hosts.ring().reachable_share(
+      [this, now](const HostId& host) { return m_board.has_fresh_report(host, now); });
 }
 
 void SessionHost::update_duty(TimePoint now) {
@@ -158,7 +161,7 @@
   if (m_view.is_current(now) || now < m_duty_suspended_until) {
     return false;
   }
-  const bool receives_reports_or_is_alone = m_board.hosts_with_fresh_report(now) > 0 || m_fleet_size == 1;
+  const bool receives_reports_or_is_alone = m_board.hosts_with_fresh_report(now) > 0 || m_hosts.fleet_size() == 1;
   return receives_reports_or_is_alone && m_board.hosts_with_current_store(now) == 0;
 }
 
@@ -230,7 +233,8 @@
 void SessionHost::on_record(const RecordChanged& record, TimePoint now) {
   if (record.key == kDutyKey) {
     m_duty.on_record(record, now);
-    m_ring.set_duty_holder(record.value.has_value() ? std::optional<HostId>(duty_holder(*record.value)) : std::nullopt);
+    m_hosts.ring().set_duty_holder(record.value.has_value() ? std::optional<HostId>(duty_holder(*record.value))
+                                                            : std::nullopt);
     return;
   }
   if (record.key.starts_with(LeaderRecords::kPrefix)) {
@@ -246,40 +250,14 @@
     m_record.on_record(record, now);
     return;
   }
-  if (!record.value.has_value()) {
-    const auto known = m_others.find(host);
-    if (known != m_others.end() && !known->second.unlisted_since.has_value()) {
-      known->second.unlisted_since = now;
-    }
-    update_hosts(now);
-    return;
-  }
-  const auto entry = decode_host_entry(*record.value);
-  if (!entry.has_value()) {
-    m_counters.count("host_entries_malformed");
-    return;
-  }
-  m_others[host] = {entry->evidence_endpoint, entry->domain, std::nullopt};
+  m_hosts.on_record(host, record.value, now);
   update_hosts(now);
 }
 
 void SessionHost::update_hosts(TimePoint now) {
-  std::erase_if(m_others, [now](const auto& other) {
-    return other.second.unlisted_since.has_value() && *other.second.unlisted_since + kUnlistedHostRetention <= now;
-  });
-  const std::vector<HostId> reporting_hosts = m_board.known_hosts(now);
-  std::map<HostId, FailureDomainId> others;
-  std::set<HostId> active;
-  for (const auto& [host, other] : m_others) {
-    others.emplace(host, other.domain);
-    if (!other.unlisted_since.has_value() || std::binary_search(reporting_hosts.begin(), reporting_hosts.end(), host)) {
-      active.insert(host);
-    }
-  }
-  m_fleet_size = 1 + active.size();
-  m_ring.set_hosts(std::move(others), std::move(active));
-  m_view.set_fleet_size(m_fleet_size);
-  m_sessions.executor().set_fleet_size(m_fleet_size);
+  m_hosts.update(m_board.known_hosts(now), now);
+  m_view.set_fleet_size(m_hosts.fleet_size());
+  m_sessions.executor().set_fleet_size(m_hosts.fleet_size());
 }
 
 void SessionHost::on_primary_position(const GroupId& group, const LogPoint& position, TimePoint at) {
@@ -315,7 +293,7 @@
 }
 
 void SessionHost::on_evidence(const EvidenceReport& report, TimePoint now) {
-  if (!m_others.contains(report.sender)) {
+  if (m_hosts.find(report.sender) == nullptr) {
     m_counters.count("reports_of_unknown_hosts");
     return;
   }
@@ -385,8 +363,9 @@
   }
   m_sessions.executor().clear_lease_request();
   m_next_lease_request = now + kLeaseRequestInterval;
-  const auto holder = m_ring.duty_holder().has_value() ? m_others.find(*m_ring.duty_holder()) : m_others.end();
-  if (holder == m_others.end()) {
+  const std::optional<HostId>& holder_id = m_hosts.ring().duty_holder();
+  const KnownHosts::Host* const holder = holder_id.has_value() ? m_hosts.find(*holder_id) : nullptr;
+  if (holder == nullptr) {
     return;
   }
   EvidenceReport report = make_report(now);
@@ -396,7 +375,7 @@
     }
   }
   m_counters.count("lease_requests");
-  send_report(holder->first, holder->second.endpoint, report, now);
+  send_report(*holder_id, holder->endpoint, report, now);
 }
 
 void SessionHost::answer_lease_requests(const EvidenceReport& report, TimePoint now) {
@@ -411,7 +390,7 @@
     }
   }
   if (!answer.groups.empty()) {
-    send_report(report.sender, m_others.at(report.sender).endpoint, answer, now);
+    send_report(report.sender, m_hosts.find(report.sender)->endpoint, answer, now);
   }
 }
 
@@ -429,7 +408,7 @@
 void SessionHost::send_reports(TimePoint now) {
   m_next_report = now + kReportInterval;
   update_hosts(now);
-  if (m_others.empty()) {
+  if (m_hosts.all().empty()) {
     return;
   }
   EvidenceReport report = make_report(now);
@@ -445,8 +424,9 @@
   }
   const bool announces = m_announcements_left > 0;
   m_announcements_left -= announces ? 1 : 0;
-  for (const auto& [host, other] : m_others) {
-    if (m_ring.is_neighbour(host) || announces || (duty_report && m_ring.exchanges_duty_reports(host))) {
+  const ReportRing& ring = m_hosts.ring();
+  for (const auto& [host, other] : m_hosts.all()) {
+    if (ring.is_neighbour(host) || announces || (duty_report && ring.exchanges_duty_reports(host))) {
       send_report(host, other.endpoint, report, now);
     }
   }
@@ -482,7 +462,7 @@
   gauge("store_current", m_view.is_current(now) ? 1 : 0);
   gauge("store_era", static_cast<std::int64_t>(m_store_era.value()));
   gauge("store_revision", m_view.revision().value());
-  gauge("known_hosts", static_cast<std::int64_t>(m_fleet_size));
+  gauge("known_hosts", static_cast<std::int64_t>(m_hosts.fleet_size()));
   for (const auto& [id, group] : m_sessions.executor().groups()) {
     const PrimaryEvidence evidence = group.report(now);
     const std::string label = "{group=\"" + id.value() + "\"}";
--- a/servers/session_host/session_host.h
+++ b/servers/session_host/session_host.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -13,7 +12,7 @@
 #include "servers/catalogue/store_view.h"
 #include "servers/failover/evidence_board.h"
 #include "servers/failover/failover_duty.h"
-#include "servers/session_host/report_ring.h"
+#include "servers/session_host/known_hosts.h"
 #include "servers/sessions/session_service.h"
 
 namespace teaselrudder {
@@ -63,8 +62,8 @@
   static constexpr Duration kDutyTimeToLive = std::chrono::milliseconds(1600);
   static constexpr Duration kDutyRenewal = std::chrono::milliseconds(500);
   /// Time after the last renewal of its lease for which the holder of the duty acts while the store is unreachable for
-  /// every host that it hears. Shorter than kUnlistedHostRetention: as long as another host counts this one to the
-  /// fleet, it cannot act without hearing a host that hears this one.
+  /// every host that it hears. Shorter than KnownHosts::kUnlistedHostRetention: as long as another host counts this one
+  /// to the fleet, it cannot act without hearing a host that hears this one.
   static constexpr Duration kMaxDutyWithoutStore = std::chrono::seconds(20);
   /// Time without a quorum after which the holder gives the duty to others that may have one.
   static constexpr Duration kMaxDutyWithoutQuorum = std::chrono::seconds(2);
@@ -80,9 +79,6 @@
   /// Number of consecutive reports that the holder of the failover duty sends to all hosts after it found a new
   /// primary. There are several because reports may be lost.
   static constexpr int kPrimaryAnnouncements = 3;
-  /// Time for which a host still gets reports after its record disappeared from the store. A host that was cut off
-  /// learns from these reports that the network works again, before it can write its record again.
-  static constexpr Duration kUnlistedHostRetention = std::chrono::seconds(30);
   /// Time without any answer of the store after which this host reports that it does not reach it: one interval of the
   /// renewals of its record, and the time that an answer may take.
   static constexpr Duration kMaxStoreSilence = kRecordTimeToLive / 3 + std::chrono::milliseconds(600);
@@ -113,13 +109,6 @@
   void on_evidence(const EvidenceReport& report, TimePoint now) override;
 
  private:
-  struct OtherHost {
-    Endpoint endpoint;
-    FailureDomainId domain;
-    /// When the host's record disappeared from the store; nothing if it is there.
-    std::optional<TimePoint> unlisted_since;
-  };
-
   void on_store_era(StoreEra era, TimePoint now) override;
   void on_routing(const RoutingTable& table, TimePoint now) override;
   void on_member(const MemberEntry& entry, TimePoint now) override;
@@ -177,12 +166,9 @@
   StoreEra m_store_era;
   /// Era in which this host last waited for the end of a lease from an earlier era.
   StoreEra m_former_holder_awaited_in;
-  std::map<HostId, OtherHost> m_others;
-  ReportRing m_ring;
+  KnownHosts m_hosts;
   TimePoint m_next_duty_report;
   int m_announcements_left = 0;
-  /// Number of hosts that have a record in the store or sent a report recently, including this one.
-  std::size_t m_fleet_size = 1;
   TimePoint m_next_report;
   TimePoint m_next_lease_request;
   /// Highest fencing token that a holder of the failover duty is known to have used.
