Wait for a holder that acted without the store before taking the duty

What callers would see where the platform checks no fencing tokens: two holders of the failover duty order promotions within 30 ms, the older one last.

Cause: after an outage that outlasted the duty's lease the record is gone, and the first host that reaches the store took the duty at once. The holder before it may act on without the store for 20 s, until it hears from somebody who reaches the store again; reports go out every 250 ms.

A host that finds the store again reports it at once, and takes the duty only after two of its reports may have been lost (600 ms), unless it is the holder itself. Ruled out: the wait of a whole lease that follows a restoration. It left the duty free for over 3 s after an outage, and is not needed here, because a lease that has run out is no longer trusted.

Not covered: a process that starts in those 600 ms.

--- a/servers/catalogue/leased_record.cc
+++ b/servers/catalogue/leased_record.cc
@@ -66,7 +66,7 @@
   m_failures = 0;
   m_next_attempt = now;
   if (m_policy == RecordPolicy::kOnlyIfAbsent && !is_valid_holder) {
-    delay_acquisition(now);
+    delay_acquisition(m_timings.time_to_live, now);
   }
   if (m_state == State::kHeld || m_state == State::kUnconfirmed) {
     m_state = State::kUnconfirmed;
--- a/servers/catalogue/leased_record.h
+++ b/servers/catalogue/leased_record.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -41,11 +42,14 @@
 
   /// Forgets what the store reported and every running call, because the store was restored from an older copy and is
   /// now in `era`. `is_valid_holder` is true if this host may act on the record at this moment. Only such a host may
-  /// write a record with RecordPolicy::kOnlyIfAbsent again at once; see delay_acquisition().
+  /// write a record with RecordPolicy::kOnlyIfAbsent again at once. Others wait until a lease that the store has
+  /// forgotten would have run out for its holder.
   void on_store_restored(StoreEra era, bool is_valid_holder, TimePoint now);
 
-  /// Does not acquire the record before a lease that the store has forgotten would have run out for its holder.
-  void delay_acquisition(TimePoint now) { m_earliest_acquisition = now + m_timings.time_to_live; }
+  /// Does not acquire the record for `delay`, because another host may still act as its holder.
+  void delay_acquisition(Duration delay, TimePoint now) {
+    m_earliest_acquisition = std::max(m_earliest_acquisition, now + delay);
+  }
 
   /// Processes the end of a listing of the store, in which on_record() was called for the record if it exists.
   void on_store_listed(TimePoint now);
--- a/servers/catalogue/store_view.cc
+++ b/servers/catalogue/store_view.cc
@@ -184,6 +184,9 @@
 }
 
 void StoreView::on_success(TimePoint now) {
+  if (m_unreachable_since.has_value()) {
+    m_events.on_store_regained(now);
+  }
   m_failures = 0;
   m_answered_at = now;
   m_next_attempt = now;
--- a/servers/catalogue/store_view.h
+++ b/servers/catalogue/store_view.h
@@ -31,6 +31,8 @@
   virtual void on_member_missing(const MemberId& member, bool store_was_unreachable, TimePoint now) = 0;
   /// A record was listed, written or removed.
   virtual void on_record(const RecordChanged& record, TimePoint now) = 0;
+  /// The store answers again after it was unreachable. Called before the answer changes is_current().
+  virtual void on_store_regained(TimePoint now) = 0;
   /// The whole store was listed, and everything that it contains has been passed on.
   virtual void on_store_listed(TimePoint now) = 0;
 };
--- a/servers/session_host/session_host.cc
+++ b/servers/session_host/session_host.cc
@@ -214,6 +214,13 @@
   m_leaders.on_store_restored();
 }
 
+void SessionHost::on_store_regained(TimePoint now) {
+  if (!duty_token(now).has_value()) {
+    m_duty.delay_acquisition(kStoreReturnNotice, now);
+  }
+  m_next_report = now;
+}
+
 void SessionHost::on_store_listed(TimePoint now) {
   m_record.on_store_listed(now);
   m_duty.on_store_listed(now);
@@ -318,7 +325,7 @@
   const bool is_of_former_era = token != 0 && era_of(FencingToken(token)) < m_store_era;
   if (is_of_former_era && std::exchange(m_former_holder_awaited_in, m_store_era) != m_store_era) {
     // This process started after the store was restored, and a holder from before may still act on its lost lease.
-    m_duty.delay_acquisition(now);
+    m_duty.delay_acquisition(kDutyTimeToLive, now);
   }
   const std::optional<RecordVersion> held = m_duty.held_version();
   if (held.has_value() && token > to_fencing_token(*held).value()) {
--- a/servers/session_host/session_host.h
+++ b/servers/session_host/session_host.h
@@ -69,6 +69,9 @@
   static constexpr Duration kMaxDutyWithoutQuorum = std::chrono::seconds(2);
   /// Interval of the reports to each other host.
   static constexpr Duration kReportInterval = std::chrono::milliseconds(250);
+  /// Time after the store became reachable in which this host does not take the failover duty. A holder that acts on
+  /// without the store learns of its return from this host's reports, of which two may be lost.
+  static constexpr Duration kStoreReturnNotice = 2 * kReportInterval + std::chrono::milliseconds(100);
   /// Maximum number of groups in one report; further groups are sent in additional reports. A report of this size fits
   /// into a datagram of 8 KB even with the longest names.
   static constexpr std::size_t kGroupsPerReport = 32;
@@ -114,6 +117,7 @@
   void on_member(const MemberEntry& entry, TimePoint now) override;
   void on_member_missing(const MemberId& member, bool store_was_unreachable, TimePoint now) override;
   void on_record(const RecordChanged& record, TimePoint now) override;
+  void on_store_regained(TimePoint now) override;
   void on_store_listed(TimePoint now) override;
   void on_primary_position(const GroupId& group, const LogPoint& position, TimePoint at) override;
   void on_leader_announced(const GroupId& group, const GroupLeader& leader, TimePoint now) override;
--- a/tests/servers/catalogue/store_view_test.cc
+++ b/tests/servers/catalogue/store_view_test.cc
@@ -43,6 +43,7 @@
   void on_member(const MemberEntry& entry, TimePoint) override { members.insert_or_assign(entry.member, entry); }
   void on_member_missing(const MemberId& member, bool, TimePoint) override { members.erase(member); }
   void on_record(const RecordChanged&, TimePoint) override {}
+  void on_store_regained(TimePoint) override {}
   void on_store_listed(TimePoint) override {}
 
   std::map<MemberId, MemberEntry> members;
--- a/tests/servers/session_host/restored_store_test.cc
+++ b/tests/servers/session_host/restored_store_test.cc
@@ -68,6 +68,7 @@
   CPPUNIT_TEST(duty_has_one_holder_although_the_store_forgot_its_lease);
   CPPUNIT_TEST(restarted_host_does_not_take_the_duty_from_a_holder_whose_lease_the_store_forgot);
   CPPUNIT_TEST(holder_keeps_the_duty_without_a_gap);
+  CPPUNIT_TEST(duty_has_one_holder_after_an_outage_that_outlasted_its_lease);
   CPPUNIT_TEST(lost_record_of_a_host_is_written_again_although_its_lease_was_given_out_again);
   CPPUNIT_TEST(announced_primary_is_recorded_again);
   CPPUNIT_TEST(leaving_member_stays_leaving);
@@ -220,6 +221,23 @@
     expect_no_violations(world);
   }
 
+  // Guards against a second holder while the first one, which acted on without the store, has not heard of its return.
+  void duty_has_one_holder_after_an_outage_that_outlasted_its_lease() {
+    for (int offset = 0; offset < 10; ++offset) {
+      SessionWorld world(kHosts);
+      const std::size_t holder = duty_holder(world);
+      world.store().down = true;
+      world.run_for(5 * kSecond + offset * std::chrono::milliseconds(130));
+      CPPUNIT_ASSERT(holds_duty(world, holder));
+      world.store().down = false;
+      for (int step = 0; step < 300; ++step) {
+        world.run_for(std::chrono::milliseconds(10));
+        CPPUNIT_ASSERT(count_holders(world) <= 1);
+      }
+      CPPUNIT_ASSERT_EQUAL(std::size_t(1), count_holders(world));
+    }
+  }
+
   // Guards against a host whose record is missing for good, because the renewals of its lost lease renew that of
   // another.
   void lost_record_of_a_host_is_written_again_although_its_lease_was_given_out_again() {
