Check the configuration in the random runs, and mend the model of a demoted member

The random runs with a restored store also publish configurations and check at their end that the newest is in force on every running host.

The trace: m0 runs it as a replaced primary at position 1.61, steps down without an acknowledgement, receives the log of the new primary, in which it is missing, is promoted again and acknowledges it then. A member cannot acknowledge a commit that it has rolled back. The model now answers FAILED for a commit that is no longer in the member's log; every commit that is in it is judged as before.

--- a/tests/model/replicated_members.cc
+++ b/tests/model/replicated_members.cc
@@ -419,19 +419,23 @@
   const LogPoint position{member.term, LogPosition(received_position(member).position.value() + 1)};
   member.log.push_back({position, writes, TimePoint::max()});
   member.applied = member.log.size();
-  m_unacknowledged_commits[key] = [this, key, position, ends_transaction] {
+  m_unacknowledged_commits[key] = [this, key, position, writes, ends_transaction] {
     Connection& waiting = m_connections.at(key);
     Member& primary_member = *m_members[waiting.member];
-    for (ModelCommit& commit : primary_member.log) {
-      if (commit.position == position) {
-        // The commit counts as acknowledged when the answer reaches the host, and does not count if the answer is lost.
-        commit.acknowledged_at = primary_member.loses_answers ? TimePoint::max() : m_events.now() + kNetworkDelay;
-        m_acknowledged.push_back(commit);
-      }
-    }
+    const auto commit =
+        std::find_if(primary_member.log.begin(), primary_member.log.end(),
+                     [&](const ModelCommit& entry) { return entry.position == position && entry.writes == writes; });
     if (ends_transaction) {
       waiting.state = TransactionState::kIdle;
     }
+    if (commit == primary_member.log.end()) {
+      // The member stepped down, lost the commit to another primary, and was promoted again.
+      answer(key, make_error_reply(waiting, StatementErrorCode::kFailed));
+      return;
+    }
+    // The commit counts as acknowledged when the answer reaches the host, and does not count if the answer is lost.
+    commit->acknowledged_at = primary_member.loses_answers ? TimePoint::max() : m_events.now() + kNetworkDelay;
+    m_acknowledged.push_back(*commit);
     StatementReply reply = make_reply(waiting);
     reply.position = position;
     reply.signature = primary_member.entry.member.value();
--- a/tests/model/session_world.h
+++ b/tests/model/session_world.h
@@ -104,6 +104,8 @@
 
   /// Publishes the configuration with a new version number.
   void publish_routes(Duration timeout = std::chrono::milliseconds(800));
+  /// Returns the newest published version.
+  std::uint64_t newest_version() const { return m_version; }
   /// Writes the newest configuration and the entries of all members again, as their writers do after the store was
   /// restored from an older copy.
   void publish_again();
--- a/tests/servers/sessions/session_host_random_test.cc
+++ b/tests/servers/sessions/session_host_random_test.cc
@@ -58,6 +58,7 @@
     if (m_world.send_and_wait(last, StatementKind::kWrite).error.has_value()) {
       violations.emplace_back("no write is served after the faults have ended");
     }
+    check_configuration(violations);
     return violations;
   }
 
@@ -67,6 +68,17 @@
  private:
   std::size_t random_below(std::size_t count) { return m_random() % count; }
 
+  /// Adds a violation for each host on which the newest configuration is not in force.
+  void check_configuration(std::vector<std::string>& violations) {
+    const std::string expected = "configuration_version " + std::to_string(m_world.newest_version()) + "\n";
+    for (std::size_t host = 0; host < kHosts; ++host) {
+      const bool is_running = !m_stopped_hosts.contains(host);
+      if (is_running && m_world.host(host).metrics(m_world.events().now()).find(expected) == std::string::npos) {
+        violations.push_back("CONFIG: the newest configuration is not in force on host " + std::to_string(host));
+      }
+    }
+  }
+
   void open_session() {
     const std::size_t host = random_below(kHosts);
     if (m_stopped_hosts.contains(host)) {
@@ -132,7 +144,7 @@
       change_partition(index);
       return;
     }
-    const std::size_t kind = random_below(m_loss == StoreLoss::kRestored ? 14 : 11);
+    const std::size_t kind = random_below(m_loss == StoreLoss::kRestored ? 15 : 11);
     m_world.add_to_trace("fault " + std::to_string(kind) + " member " + std::to_string(index));
     switch (kind) {
       case 0:
@@ -177,6 +189,9 @@
       case 12:
         m_world.store().keep_copy();
         return;
+      case 13:
+        m_world.publish_routes();
+        return;
       default:
         restore_store();
         return;
