Do not end an unconfirmed lease when a host stops

What callers would see: the failover duty or the record of another host gone, because a host that stops, or loses its quorum, before it has listed a restored store ends a lease whose number is the other's by now.

A lease is ended only while it is confirmed. Found by reading the diff; unconfirmed_lease_is_not_ended_by_a_stop failed before.

--- a/servers/catalogue/leased_record.cc
+++ b/servers/catalogue/leased_record.cc
@@ -51,7 +51,7 @@
   if (!record.value.has_value()) {
     handle_loss("record was removed", now);
   } else if (!is_own) {
-    handle_loss("another host holds the record, or another lease does", now);
+    handle_loss("record was overwritten by another host or under another lease", now);
   } else {
     m_version = {m_store_era, record.revision};
   }
@@ -72,7 +72,6 @@
     m_state = State::kUnconfirmed;
     return;
   }
-  // The lease is not ended, because its number may belong to another host now.
   m_lease.reset();
   m_state = State::kNotHeld;
 }
@@ -91,7 +90,6 @@
   if (m_state != State::kUnconfirmed) {
     return;
   }
-  m_lease.reset();
   handle_loss("the restored store does not contain it", now);
   m_failures = 0;
   m_next_attempt = now;
@@ -151,7 +149,8 @@
 }
 
 void LeasedRecord::release() {
-  if (m_lease.has_value()) {
+  // The number of an unconfirmed lease may belong to another host now.
+  if (m_lease.has_value() && m_state != State::kUnconfirmed) {
     m_store.end_lease(next_call(), *m_lease, *this);
   }
   m_state = State::kNotHeld;
--- a/servers/catalogue/record_version.h
+++ b/servers/catalogue/record_version.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <cstdint>
+
 #include "core/ids.h"
 #include "core/ports/promotion_port.h"
 
@@ -18,6 +20,9 @@
 /// fit for 87 years.
 inline constexpr unsigned kRevisionBits = 40;
 
+/// Highest era for which tokens do not overflow.
+inline constexpr std::uint64_t kMaxEra = (std::uint64_t{1} << (64 - kRevisionBits)) - 1;
+
 /// Returns a token that rises with each change of a record, also across restorations of the store.
 inline FencingToken to_fencing_token(const RecordVersion& version) {
   return FencingToken((version.era.value() << kRevisionBits) + static_cast<std::uint64_t>(version.revision.value()));
--- a/tests/servers/catalogue/leased_record_test.cc
+++ b/tests/servers/catalogue/leased_record_test.cc
@@ -45,6 +45,7 @@
   CPPUNIT_TEST(late_write_of_a_lost_era_is_not_taken_for_the_record);
   CPPUNIT_TEST(record_that_moved_to_another_lease_is_given_up);
   CPPUNIT_TEST(lease_of_a_lost_era_is_never_ended);
+  CPPUNIT_TEST(unconfirmed_lease_is_not_ended_by_a_stop);
   CPPUNIT_TEST(record_of_the_copy_is_held_on_under_its_lease_only);
   CPPUNIT_TEST_SUITE_END();
 
@@ -77,6 +78,15 @@
     CPPUNIT_ASSERT(m_store->renewals.empty());
   }
 
+  // Guards against the same by a host that stops before it has listed the restored store.
+  void unconfirmed_lease_is_not_ended_by_a_stop() {
+    acquire(LeaseId(7));
+    m_record->on_store_restored(StoreEra(2), true, at(1));
+    m_record->release();
+    CPPUNIT_ASSERT(!m_record->held_version().has_value());
+    CPPUNIT_ASSERT(m_store->ended.empty());
+  }
+
   // Guards against trust in a lease that is not in the copy, and against a needless new record if it is.
   void record_of_the_copy_is_held_on_under_its_lease_only() {
     for (const LeaseId lease : {LeaseId(7), LeaseId(6)}) {
