Simplify how a lease is awaited and a listing restarted

- The wait for a lease that the store has forgotten had two ways: a flag of LeasedRecord::on_store_restored() with a check of the policy, and delay_acquisition() with the constant of the duty.
SessionHost now decides in both places and asks the record for its time to live, which also covers a platform whose shortest lease is longer than the duty's 1.6 s.
- Whether a record is this host's own, by value and lease, was written twice.
- The two places in which StoreView drops its position share restart_listing().
- Two tests share the loss of the duty's record, three the check for one holder.
No assertion is changed.

--- a/servers/catalogue/leased_record.cc
+++ b/servers/catalogue/leased_record.cc
@@ -35,11 +35,11 @@
   }
   m_stored_revision = record.value.has_value() ? std::optional<StoreRevision>(record.revision) : std::nullopt;
   m_stored_value = record.value.value_or("");
-  if (m_state == State::kUnconfirmed) {
-    confirm(record, now);
+  const bool is_own = m_stored_value == m_value && record.lease == m_lease;
+  if (m_state == State::kUnconfirmed && is_own) {
+    confirm(record.revision, now);
     return;
   }
-  const bool is_own = m_stored_value == m_value && record.lease == m_lease;
   if (m_state == State::kWriting && m_call == std::nullopt && is_own) {
     // The store holds this host's value, so the write succeeded and only its answer was lost.
     on_acquired(record.revision, now);
@@ -57,7 +57,7 @@
   }
 }
 
-void LeasedRecord::on_store_restored(StoreEra era, bool is_valid_holder, TimePoint now) {
+void LeasedRecord::on_store_restored(StoreEra era, TimePoint now) {
   m_store_era = era;
   m_stored_revision.reset();
   m_stored_value.clear();
@@ -65,9 +65,6 @@
   m_renewal.reset();
   m_failures = 0;
   m_next_attempt = now;
-  if (m_policy == RecordPolicy::kOnlyIfAbsent && !is_valid_holder) {
-    delay_acquisition(m_timings.time_to_live, now);
-  }
   if (m_state == State::kHeld || m_state == State::kUnconfirmed) {
     m_state = State::kUnconfirmed;
     return;
@@ -76,13 +73,10 @@
   m_state = State::kNotHeld;
 }
 
-void LeasedRecord::confirm(const RecordChanged& record, TimePoint now) {
-  if (m_stored_value != m_value || record.lease != m_lease) {
-    return;
-  }
-  m_log.log_state_change("record_confirmed", {{"key", m_key}, {"revision", std::to_string(record.revision.value())}});
+void LeasedRecord::confirm(StoreRevision revision, TimePoint now) {
+  m_log.log_state_change("record_confirmed", {{"key", m_key}, {"revision", std::to_string(revision.value())}});
   m_state = State::kHeld;
-  m_version = {m_store_era, record.revision};
+  m_version = {m_store_era, revision};
   m_next_renewal = now;
 }
 
--- a/servers/catalogue/leased_record.h
+++ b/servers/catalogue/leased_record.h
@@ -41,10 +41,11 @@
   void set_store_era(StoreEra era) { m_store_era = era; }
 
   /// Forgets what the store reported and every running call, because the store was restored from an older copy and is
-  /// now in `era`. `is_valid_holder` is true if this host may act on the record at this moment. Only such a host may
-  /// write a record with RecordPolicy::kOnlyIfAbsent again at once. Others wait until a lease that the store has
-  /// forgotten would have run out for its holder.
-  void on_store_restored(StoreEra era, bool is_valid_holder, TimePoint now);
+  /// now in `era`.
+  void on_store_restored(StoreEra era, TimePoint now);
+
+  /// Returns the time to live of the lease.
+  Duration time_to_live() const { return m_timings.time_to_live; }
 
   /// Does not acquire the record for `delay`, because another host may still act as its holder.
   void delay_acquisition(Duration delay, TimePoint now) {
@@ -90,8 +91,8 @@
 
   /// Returns true if the policy allows this host to write the record.
   bool may_replace_stored() const;
-  /// Holds the record on if the restored store contains it under its lease.
-  void confirm(const RecordChanged& record, TimePoint now);
+  /// Holds the record on, which the restored store contains under its lease at `revision`.
+  void confirm(StoreRevision revision, TimePoint now);
   void request_lease(TimePoint now);
   void back_off(TimePoint now);
   void handle_loss(const std::string& cause, TimePoint now);
--- a/servers/catalogue/store_view.cc
+++ b/servers/catalogue/store_view.cc
@@ -25,9 +25,7 @@
 void StoreView::on_tick(TimePoint now) {
   if (m_settled_listing_at.has_value() && now >= *m_settled_listing_at) {
     m_settled_listing_at.reset();
-    m_call.reset();
-    m_revision.reset();
-    m_next_attempt = now;
+    restart_listing(now);
   }
   if (!m_call.has_value() && now >= m_next_attempt) {
     start_call();
@@ -45,11 +43,15 @@
   }
 }
 
-void StoreView::on_store_restored(TimePoint now) {
+void StoreView::restart_listing(TimePoint now) {
   m_call.reset();
   m_revision.reset();
-  m_failures = 0;
   m_next_attempt = now;
+}
+
+void StoreView::on_store_restored(TimePoint now) {
+  restart_listing(now);
+  m_failures = 0;
   m_reachable_again_at = now;
   m_settled_at = now + kReregistrationTime;
   const auto spread = std::chrono::duration_cast<Duration>(kSettledListingSpread * m_random.next_double());
--- a/servers/catalogue/store_view.h
+++ b/servers/catalogue/store_view.h
@@ -119,6 +119,8 @@
 
  private:
   void start_call();
+  /// Ignores the running call and lists the store with the next one.
+  void restart_listing(TimePoint now);
   /// Returns true if a listing shows a restored copy, whose entries of members may be outdated.
   bool lists_unsettled_copy() const { return m_settled_listing_at.has_value(); }
   void apply_listed(const StoreChange& item, TimePoint now);
--- a/servers/session_host/session_host.cc
+++ b/servers/session_host/session_host.cc
@@ -207,10 +207,13 @@
                                             {"before", std::to_string(before.value())},
                                             {"revision_before", std::to_string(m_view.revision().value())}});
   m_former_holder_awaited_in = era;
-  const bool is_duty_valid = duty_token(now).has_value();
+  if (!duty_token(now).has_value()) {
+    // Another holder may trust its lease, which the store has forgotten, until its time to live is over.
+    m_duty.delay_acquisition(m_duty.time_to_live(), now);
+  }
   m_view.on_store_restored(now);
-  m_record.on_store_restored(era, true, now);
-  m_duty.on_store_restored(era, is_duty_valid, now);
+  m_record.on_store_restored(era, now);
+  m_duty.on_store_restored(era, now);
   m_leaders.on_store_restored();
 }
 
@@ -325,7 +328,7 @@
   const bool is_of_former_era = token != 0 && era_of(FencingToken(token)) < m_store_era;
   if (is_of_former_era && std::exchange(m_former_holder_awaited_in, m_store_era) != m_store_era) {
     // This process started after the store was restored, and a holder from before may still act on its lost lease.
-    m_duty.delay_acquisition(kDutyTimeToLive, now);
+    m_duty.delay_acquisition(m_duty.time_to_live(), now);
   }
   const std::optional<RecordVersion> held = m_duty.held_version();
   if (held.has_value() && token > to_fencing_token(*held).value()) {
--- a/tests/servers/catalogue/leased_record_test.cc
+++ b/tests/servers/catalogue/leased_record_test.cc
@@ -71,7 +71,7 @@
   // Guards against a host that ends the lease of another one, which got the same number after the restoration.
   void lease_of_a_lost_era_is_never_ended() {
     acquire(LeaseId(7));
-    m_record->on_store_restored(StoreEra(2), true, at(1));
+    m_record->on_store_restored(StoreEra(2), at(1));
     m_record->on_store_listed(at(1));
     CPPUNIT_ASSERT(!m_record->held_version().has_value());
     CPPUNIT_ASSERT(m_store->ended.empty());
@@ -81,7 +81,7 @@
   // Guards against the same by a host that stops before it has listed the restored store.
   void unconfirmed_lease_is_not_ended_by_a_stop() {
     acquire(LeaseId(7));
-    m_record->on_store_restored(StoreEra(2), true, at(1));
+    m_record->on_store_restored(StoreEra(2), at(1));
     m_record->release();
     CPPUNIT_ASSERT(!m_record->held_version().has_value());
     CPPUNIT_ASSERT(m_store->ended.empty());
@@ -92,7 +92,7 @@
     for (const LeaseId lease : {LeaseId(7), LeaseId(6)}) {
       setUp();
       acquire(LeaseId(7));
-      m_record->on_store_restored(StoreEra(2), true, at(1));
+      m_record->on_store_restored(StoreEra(2), at(1));
       CPPUNIT_ASSERT((m_record->held_version() == RecordVersion{StoreEra(1), StoreRevision(30)}));
       m_record->on_record({kKey, kValue, StoreRevision(12), lease}, at(1));
       m_record->on_store_listed(at(1));
--- a/tests/servers/session_host/restored_store_test.cc
+++ b/tests/servers/session_host/restored_store_test.cc
@@ -58,6 +58,23 @@
   world.run_for(kSecond);
 }
 
+/// Restores the store from its copy, lets its revision pass the lost ones, and removes the record of the duty.
+void lose_duty_record(SessionWorld& world) {
+  world.store().restore_copy();
+  for (int round = 0; round < 5; ++round) {
+    world.publish_members();
+  }
+  world.store().remove(kDutyKey);
+}
+
+/// Runs the world for 3 s, in which never more than one host may hold the duty.
+void expect_at_most_one_holder(SessionWorld& world) {
+  for (int step = 0; step < 300; ++step) {
+    world.run_for(std::chrono::milliseconds(10));
+    CPPUNIT_ASSERT(count_holders(world) <= 1);
+  }
+}
+
 class RestoredStoreTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(RestoredStoreTest);
   CPPUNIT_TEST(configuration_is_in_force_although_its_revision_was_given_out_before);
@@ -161,15 +178,8 @@
     move_duty(world);
     const std::size_t holder = duty_holder(world);
     world.store().unreachable_hosts = {holder};
-    world.store().restore_copy();
-    for (int round = 0; round < 5; ++round) {
-      world.publish_members();
-    }
-    world.store().remove(kDutyKey);
-    for (int step = 0; step < 300; ++step) {
-      world.run_for(std::chrono::milliseconds(10));
-      CPPUNIT_ASSERT(count_holders(world) <= 1);
-    }
+    lose_duty_record(world);
+    expect_at_most_one_holder(world);
   }
 
   // Guards against the same by a process that was not there when the store came back.
@@ -184,20 +194,13 @@
         world.kill_host(host);
       }
     }
-    world.store().restore_copy();
-    for (int round = 0; round < 5; ++round) {
-      world.publish_members();
-    }
-    world.store().remove(kDutyKey);
+    lose_duty_record(world);
     for (std::size_t host = 0; host < kHosts; ++host) {
       if (host != holder) {
         world.restart_host(host);
       }
     }
-    for (int step = 0; step < 300; ++step) {
-      world.run_for(std::chrono::milliseconds(10));
-      CPPUNIT_ASSERT(count_holders(world) <= 1);
-    }
+    expect_at_most_one_holder(world);
   }
 
   // Guards against a pause in which nobody grants leases, although the holder of the duty never stopped.
@@ -230,10 +233,7 @@
       world.run_for(5 * kSecond + offset * std::chrono::milliseconds(130));
       CPPUNIT_ASSERT(holds_duty(world, holder));
       world.store().down = false;
-      for (int step = 0; step < 300; ++step) {
-        world.run_for(std::chrono::milliseconds(10));
-        CPPUNIT_ASSERT(count_holders(world) <= 1);
-      }
+      expect_at_most_one_holder(world);
       CPPUNIT_ASSERT_EQUAL(std::size_t(1), count_holders(world));
     }
   }
