--- a/review/2/case.cc
+++ b/review/2/case.cc
@@ -44,11 +44,18 @@
   static Store store;
   GroupSettings settings;
   settings.service = "huvo11a";
-  static Group group(settings, store, record);
+  static Network network;
+  static Group group(settings, store, network, record);
   static HttpServer cloud([](const HttpRequest& request) { return group.promote(request); });
   store.put("op/config", configuration(1, settings, {{"lepu270", "primary"}}));
+  group.add_host("all", "zone-a");
+  const std::uint16_t store_port = store.serve(
+      [](const std::string& key, const std::string& value) {
+        return key.starts_with("servers/") ? group.view_of("all", value) : value;
+      },
+      [] { return true; });
   group.start_heartbeats();
-  const Host host(folder, "host-a", store.port(), cloud.port());
+  const Host host(folder, "host-a", "zone-a", store_port, cloud.port());
   if (!host.wait_until_ready(kReadyTimeout)) {
     record.line("the host does not become ready");
     return 2;
--- a/review/build.sh
+++ b/review/build.sh
@@ -9,7 +9,7 @@
 compiler=${CXX:-g++}
 flags=(-std=c++20 -O1 -Wall -Wextra -pthread -I .)
 objects=()
-for name in net store member hosts; do
+for name in net network store member hosts; do
   "$compiler" "${flags[@]}" -c "review/stand_ins/$name.cc" -o "$out/$name.o"
   objects+=("$out/$name.o")
 done
--- a/review/stand_ins/hosts.cc
+++ b/review/stand_ins/hosts.cc
@@ -18,12 +18,13 @@
 constexpr const char* kProgram = "target/teaselrudder-platform";
 constexpr Milliseconds kStartupTimeout(2000);
 
-std::string settings_text(const std::string& name, std::uint16_t front, std::uint16_t ready, std::uint16_t peers,
-                          std::uint16_t store, std::uint16_t cloud) {
+std::string settings_text(const std::string& name, const std::string& zone, std::uint16_t front, std::uint16_t ready,
+                          std::uint16_t peers, std::uint16_t store, std::uint16_t cloud) {
   const auto local = [](std::uint16_t port) { return "\"127.0.0.1:" + std::to_string(port) + "\"\n"; };
   return "node: \"" + name + "\"\nrole: \"front\"\nclass: \"front\"\nserves: [\"front\"]\nip: \"127.0.0.1\"\n" +
-         "zone: \"zone-a\"\nregion: \"region-a\"\nzones: {zone-a: \"region-a\"}\nlisten:\n  front: " + local(front) +
-         "  ready: " + local(ready) + "port_range: [" + std::to_string(peers) + ", " + std::to_string(peers) + "]\n" +
+         "zone: \"" + zone + "\"\nregion: \"region-a\"\nzones: {" + zone +
+         ": \"region-a\"}\nlisten:\n  front: " + local(front) + "  ready: " + local(ready) + "port_range: [" +
+         std::to_string(peers) + ", " + std::to_string(peers) + "]\n" +
          "bootstrap: true\nlimits: {cpu_share: 0.25, cores: 1, memory_mb: 260, max_fds: 4300}\nheartbeat_ms: 1200\n" +
          "bounds: {stability_window_ms: 4000, drain_ms: 7000, grace_s: 6, loss_slack_ms: 200, config_apply_ms: 3000, " +
          "require_fence: true}\nplatform:\n  addr: " + local(store) +
@@ -57,10 +58,11 @@
   return table.dump();
 }
 
-Host::Host(const std::string& folder, const std::string& name, std::uint16_t store, std::uint16_t cloud)
-    : m_name(name), m_front(free_port()), m_ready(free_port()) {
+Host::Host(const std::string& folder, const std::string& name, const std::string& zone, std::uint16_t store,
+           std::uint16_t cloud)
+    : m_name(name), m_front(free_port()), m_ready(free_port()), m_peers(free_port()) {
   const std::string path = folder + "/" + name;
-  std::ofstream(path + ".yaml") << settings_text(name, m_front, m_ready, free_port(), store, cloud);
+  std::ofstream(path + ".yaml") << settings_text(name, zone, m_front, m_ready, m_peers, store, cloud);
   m_process = ::fork();
   if (m_process != 0) {
     return;
@@ -103,6 +105,20 @@
   return false;
 }
 
+bool Host::wait_for_metric(const std::string& line, Milliseconds timeout) const {
+  for (const Milliseconds end = elapsed() + timeout; elapsed() < end; sleep_for(Milliseconds(50))) {
+    Connection connection(connect_to(m_ready));
+    connection.send("GET /metrics HTTP/1.1\r\nHost: host\r\nConnection: close\r\n\r\n");
+    for (auto text = connection.read_line(kStartupTimeout); text.has_value();
+         text = connection.read_line(Milliseconds(200))) {
+      if (*text == line) {
+        return true;
+      }
+    }
+  }
+  return false;
+}
+
 Client::Client(std::uint16_t port, const std::string& database, Record& record)
     : m_record(record), m_connection(connect_to(port)) {
   m_connection.send("STARTUP " + database + " reviewer\r\n");
--- a/review/stand_ins/hosts.h
+++ b/review/stand_ins/hosts.h
@@ -28,24 +28,30 @@
 class Host {
  public:
   /// Writes the settings file into `folder` and starts the process. Its output goes to a file there.
-  Host(const std::string& folder, const std::string& name, std::uint16_t store, std::uint16_t cloud);
+  Host(const std::string& folder, const std::string& name, const std::string& zone, std::uint16_t store,
+       std::uint16_t cloud);
   Host(const Host&) = delete;
   Host& operator=(const Host&) = delete;
   /// Kills the process if it runs.
   ~Host();
 
   std::uint16_t front() const { return m_front; }
+  /// Port on which the host receives the reports of other hosts.
+  std::uint16_t peers() const { return m_peers; }
   const std::string& name() const { return m_name; }
   void signal(int number) const;
   /// Returns true if the process has ended.
   bool has_ended();
   /// Waits until GET /readiness returns 200.
   bool wait_until_ready(Milliseconds timeout) const;
+  /// Waits until the host's metrics contain `line`.
+  bool wait_for_metric(const std::string& line, Milliseconds timeout) const;
 
  private:
   std::string m_name;
   std::uint16_t m_front;
   std::uint16_t m_ready;
+  std::uint16_t m_peers;
   pid_t m_process = -1;
 };
 
--- a/review/stand_ins/member.cc
+++ b/review/stand_ins/member.cc
@@ -9,6 +9,10 @@
 namespace {
 
 constexpr Milliseconds kHeartbeat(1200);
+/// Number of missed heartbeats after which a member's entry is removed.
+constexpr int kMaxMissedHeartbeats = 3;
+/// Interval at which a blocked session looks whether it can go on.
+constexpr Milliseconds kPathCheck(5);
 
 std::string_view take_word(std::string_view& rest) {
   const std::size_t end = rest.find(' ');
@@ -32,21 +36,43 @@
   return std::to_string(position.first) + "." + std::to_string(position.second);
 }
 
-Group::Group(GroupSettings settings, Store& store, Record& record)
-    : m_settings(std::move(settings)), m_store(store), m_record(record) {
-  for (std::size_t index = 0; index < m_settings.members; ++index) {
+Group::Group(GroupSettings settings, Store& store, Network& network, Record& record)
+    : m_settings(std::move(settings)), m_store(store), m_network(network), m_record(record) {
+  for (const MemberSettings& from : m_settings.members) {
     auto member = std::make_unique<Member>();
-    member->index = index;
-    member->id = "i-" + m_settings.service + std::to_string(index);
-    member->is_primary = index == 0;
+    member->index = m_members.size();
+    member->id = from.id;
+    member->zone = from.zone;
+    member->is_primary = m_members.empty();
     m_members.push_back(std::move(member));
   }
+}
+
+void Group::add_host(const std::string& host, const std::string& zone) {
   for (const auto& member : m_members) {
-    member->listener =
-        std::make_unique<Listener>([this, &served = *member](Connection& connection) { serve(served, connection); });
+    member->listeners[host] = std::make_unique<Listener>(
+        [this, &served = *member, zone](Connection& connection) { serve(served, zone, connection); });
   }
 }
 
+std::uint16_t Group::port_for(const std::string& host, std::size_t member) const {
+  return m_members.at(member)->listeners.at(host)->port();
+}
+
+std::string Group::view_of(const std::string& host, const std::string& entry) const {
+  nlohmann::json fields = nlohmann::json::parse(entry);
+  const std::size_t member = fields["addr"].get<std::size_t>();
+  fields["addr"] = "127.0.0.1:" + std::to_string(port_for(host, member));
+  return fields.dump();
+}
+
+void Group::drain(std::size_t member) {
+  const std::lock_guard lock(m_mutex);
+  m_members.at(member)->leaving = true;
+  m_record.line("member " + m_members.at(member)->id + " reports that it is draining");
+  write_entry(*m_members.at(member));
+}
+
 void Group::start_heartbeats() {
   std::thread([this] {
     while (true) {
@@ -54,8 +80,11 @@
         const std::lock_guard lock(m_mutex);
         ++m_sequence;
         for (const auto& member : m_members) {
-          if (member->up && !member->frozen) {
+          if (member->up && !member->frozen && m_network.connects(member->zone, kPlatformZone)) {
+            member->missed_heartbeats = 0;
             write_entry(*member);
+          } else if (++member->missed_heartbeats == kMaxMissedHeartbeats) {
+            m_store.remove("servers/" + member->id);
           }
         }
       }
@@ -65,16 +94,11 @@
 }
 
 void Group::write_entry(const Member& member) {
-  const nlohmann::json entry = {{"service", m_settings.service},
-                                {"addr", "127.0.0.1:" + std::to_string(member.listener->port())},
-                                {"zone", "zone-a"},
-                                {"version", "v1"},
-                                {"slots", m_settings.slots},
-                                {"state", "ready"},
-                                {"warmup_left_ms", 0},
-                                {"db_role", member.is_primary ? "primary" : "replica"},
-                                {"born", 1764900000000},
-                                {"seq", m_sequence}};
+  const nlohmann::json entry = {{"service", m_settings.service}, {"addr", member.index},
+                                {"zone", member.zone},           {"version", "v1"},
+                                {"slots", m_settings.slots},     {"state", member.leaving ? "draining" : "ready"},
+                                {"warmup_left_ms", 0},           {"db_role", member.is_primary ? "primary" : "replica"},
+                                {"born", 1764900000000},         {"seq", m_sequence}};
   m_store.put("servers/" + member.id, entry.dump());
 }
 
@@ -102,7 +126,13 @@
   return {"ERROR " + code + " " + member.id + "\r\n", true};
 }
 
-void Group::serve(Member& member, Connection& connection) {
+void Group::wait_for_path(const Member& member, const std::string& zone, std::unique_lock<std::mutex>& lock) {
+  while (member.frozen || !m_network.connects(member.zone, zone)) {
+    m_changed.wait_for(lock, kPathCheck);
+  }
+}
+
+void Group::serve(Member& member, const std::string& zone, Connection& connection) {
   {
     const std::lock_guard lock(m_mutex);
     if (!member.up) {
@@ -123,7 +153,7 @@
     sleep_for(m_settings.connect_time);
     for (auto line = std::optional<std::string>("QUERY - NONE"); line.has_value(); line = connection.read_line()) {
       std::unique_lock lock(m_mutex);
-      m_changed.wait(lock, [&member] { return !member.frozen; });
+      wait_for_path(member, zone, lock);
       lock.unlock();
       std::string_view text(*line);
       if (take_word(text) != "QUERY") {
@@ -132,7 +162,7 @@
       const std::string id(take_word(text));
       const Answer answer = text == "NONE" ? Answer{} : run(session, id, text);
       lock.lock();
-      m_changed.wait(lock, [&member] { return !member.frozen; });
+      wait_for_path(member, zone, lock);
       const std::string state = session.failed ? "E" : session.in_transaction ? "T" : "I";
       const std::string ready = "READY " + state + " " + to_text(end_of(member)) + "\r\n";
       lock.unlock();
@@ -275,6 +305,7 @@
   }
   const std::lock_guard lock(m_mutex);
   std::string value = value_in(member, item);
+  m_reads[id] = {end_of(member), member.id};
   for (const auto& [written, data] : session.writes) {
     value = written == item ? data : value;
   }
@@ -352,16 +383,22 @@
   const Position position{term, end_of(member).second + 1};
   commit.position = position;
   m_record.line("member " + member.id + " commits " + commit.request + " at " + to_text(position));
+  m_commits[commit.request] = position;
   member.log.push_back(std::move(commit));
   replicate();
   const auto is_received = [&] {
     return std::any_of(m_members.begin(), m_members.end(), [&](const auto& other) {
-      return other->index != member.index && other->up && end_of(*other) >= position;
+      return other->index != member.index && other->up && m_network.connects(other->zone, member.zone) &&
+             end_of(*other) >= position;
     });
   };
-  m_changed.wait(lock, [&] {
-    return !member.frozen && (!member.is_primary || member.term != term || m_settings.members == 1 || is_received());
-  });
+  const auto is_over = [&] {
+    return !member.frozen && (!member.is_primary || member.term != term || m_members.size() == 1 || is_received());
+  };
+  while (!is_over()) {
+    m_changed.wait_for(lock, kPathCheck);
+    replicate();
+  }
   return member.is_primary && member.term == term;
 }
 
@@ -374,7 +411,8 @@
     return;
   }
   for (const auto& member : m_members) {
-    if (member->index == primary.index || !member->up || member->frozen || member->paused_below > primary.term) {
+    if (member->index == primary.index || !member->up || member->frozen || member->paused_below > primary.term ||
+        !m_network.connects(member->zone, primary.zone)) {
       continue;
     }
     if (end_of(*member) < end_of(primary)) {
@@ -499,6 +537,18 @@
   return m_reached.contains(request);
 }
 
+std::optional<std::pair<Position, std::string>> Group::read_position(const std::string& request) {
+  const std::lock_guard lock(m_mutex);
+  const auto found = m_reads.find(request);
+  return found == m_reads.end() ? std::nullopt : std::optional(found->second);
+}
+
+std::optional<Position> Group::commit_position(const std::string& request) {
+  const std::lock_guard lock(m_mutex);
+  const auto found = m_commits.find(request);
+  return found == m_commits.end() ? std::nullopt : std::optional(found->second);
+}
+
 std::string Group::shape_run_for(const std::string& request) {
   const std::lock_guard lock(m_mutex);
   const auto found = m_shapes.find(request);
--- a/review/stand_ins/store.cc
+++ b/review/stand_ins/store.cc
@@ -12,6 +12,8 @@
 constexpr std::size_t kPageItems = 500;
 /// Interval at which a waiting watch looks for expired leases.
 constexpr Milliseconds kLeaseCheck(20);
+/// Interval at which a request on an interrupted path looks whether the path works again.
+constexpr Milliseconds kPathCheck(5);
 
 std::string encode_base64(const std::string& bytes) {
   std::string text;
@@ -54,7 +56,20 @@
 
 }  // namespace
 
-Store::Store() : m_server([this](const HttpRequest& request) { return serve(request); }) {}
+std::uint16_t Store::serve(View view, std::function<bool()> passes) {
+  m_servers.push_back(std::make_unique<HttpServer>(
+      [this, view = std::move(view), passes = std::move(passes)](const HttpRequest& request) {
+        while (!passes()) {
+          sleep_for(kPathCheck);
+        }
+        const HttpResponse response = answer(request, view);
+        while (!passes()) {
+          sleep_for(kPathCheck);
+        }
+        return response;
+      }));
+  return m_servers.back()->port();
+}
 
 void Store::put(const std::string& key, const std::string& value) {
   const std::lock_guard lock(m_mutex);
@@ -66,14 +81,14 @@
   erase(key);
 }
 
-HttpResponse Store::serve(const HttpRequest& request) {
+HttpResponse Store::answer(const HttpRequest& request, const View& view) {
   constexpr std::string_view kKeep = "/kv-keep/";
   constexpr std::string_view kEnd = "/kv-lease-end/";
   if (request.path == "/kv-range") {
-    return range(request);
+    return range(request, view);
   }
   if (request.path == "/kv-watch") {
-    return watch(request);
+    return watch(request, view);
   }
   if (request.path == "/kv-txn") {
     return transact(request);
@@ -90,15 +105,15 @@
   return {404, "{}"};
 }
 
-Store::Json Store::to_json(const std::string& key, const Item& item) {
+Store::Json Store::to_json(const std::string& key, const Item& item, const View& view) {
   return {{"key", key},
-          {"value", encode_base64(item.value)},
+          {"value", encode_base64(view(key, item.value))},
           {"rev", item.revision},
           {"created", item.created},
           {"lease", item.lease}};
 }
 
-HttpResponse Store::range(const HttpRequest& request) {
+HttpResponse Store::range(const HttpRequest& request, const View& view) {
   const std::string prefix = field(request, "prefix");
   const std::string after = field(request, "after");
   const std::lock_guard lock(m_mutex);
@@ -113,12 +128,12 @@
       has_more = true;
       break;
     }
-    items.push_back(to_json(key, item));
+    items.push_back(to_json(key, item, view));
   }
   return {200, Json{{"items", items}, {"has_more", has_more}, {"as_of", m_revision}}.dump()};
 }
 
-HttpResponse Store::watch(const HttpRequest& request) {
+HttpResponse Store::watch(const HttpRequest& request, const View& view) {
   const std::string prefix = field(request, "prefix");
   const std::int64_t after = std::atoll(field(request, "after").c_str());
   const auto until = Clock::now() + Milliseconds(std::atoll(field(request, "wait_ms").c_str()));
@@ -131,7 +146,7 @@
         continue;
       }
       events.push_back(change.removed ? Json{{"key", change.key}, {"rev", change.revision}, {"removed", true}}
-                                      : to_json(change.key, change.item));
+                                      : to_json(change.key, change.item, view));
     }
     if (!events.empty() || Clock::now() >= until) {
       return {200, Json{{"events", events}, {"as_of", m_revision}}.dump()};
@@ -151,7 +166,7 @@
     const std::int64_t revision = found == m_items.end() ? 0 : found->second.revision;
     matches = matches && revision == expected["rev"].get<std::int64_t>();
     if (found != m_items.end()) {
-      items.push_back(to_json(found->first, found->second));
+      items.push_back({{"key", found->first}, {"rev", found->second.revision}});
     }
   }
   if (!matches) {
--- a/review/stand_ins/store.h
+++ b/review/stand_ins/store.h
@@ -3,7 +3,9 @@
 #include <chrono>
 #include <condition_variable>
 #include <cstdint>
+#include <functional>
 #include <map>
+#include <memory>
 #include <mutex>
 #include <string>
 #include <vector>
@@ -16,9 +18,12 @@
 /// Stand-in of the platform's metadata store.
 class Store {
  public:
-  Store();
+  /// Returns the value that a reader gets for a key, given the stored value.
+  using View = std::function<std::string(const std::string& key, const std::string& value)>;
 
-  std::uint16_t port() const { return m_server.port(); }
+  /// Starts to serve on a free port, which is returned. Readers there get the values that `view` returns. While
+  /// `passes` returns false, requests are neither carried out nor answered.
+  std::uint16_t serve(View view, std::function<bool()> passes);
 
   /// Writes an item as the operator or a member does.
   void put(const std::string& key, const std::string& value);
@@ -45,9 +50,9 @@
     Clock::time_point ends_at;
   };
 
-  HttpResponse serve(const HttpRequest& request);
-  HttpResponse range(const HttpRequest& request);
-  HttpResponse watch(const HttpRequest& request);
+  HttpResponse answer(const HttpRequest& request, const View& view);
+  HttpResponse range(const HttpRequest& request, const View& view);
+  HttpResponse watch(const HttpRequest& request, const View& view);
   HttpResponse transact(const HttpRequest& request);
   HttpResponse grant(const HttpRequest& request);
   HttpResponse renew(std::int64_t lease);
@@ -58,7 +63,7 @@
   void erase(const std::string& key);
   void end_lease(std::int64_t lease);
   void expire_leases();
-  static Json to_json(const std::string& key, const Item& item);
+  static Json to_json(const std::string& key, const Item& item, const View& view);
 
   std::mutex m_mutex;
   std::condition_variable m_changed;
@@ -67,7 +72,7 @@
   std::map<std::string, Item> m_items;
   std::vector<Change> m_history;
   std::map<std::int64_t, Lease> m_leases;
-  HttpServer m_server;
+  std::vector<std::unique_ptr<HttpServer>> m_servers;
 };
 
 }  // namespace teaselrudder::review
