--- a/review/stand_ins/store.cc
+++ b/review/stand_ins/store.cc
@@ -62,7 +62,7 @@
         while (!passes()) {
           sleep_for(kPathCheck);
         }
-        const HttpResponse response = answer(request, view);
+        HttpResponse response = answer(request, view);
         while (!passes()) {
           sleep_for(kPathCheck);
         }
