--- a/review/5/case.cc
+++ b/review/5/case.cc
@@ -17,9 +17,12 @@
 
 constexpr std::size_t kSessions = 16;
 constexpr Milliseconds kReadyTimeout(20000);
-/// Time of a read at a member, and pause of a caller between two operations.
+/// Time of a read at a member.
 constexpr Milliseconds kWorkTime(26);
-constexpr Milliseconds kPause(40);
+/// Pause of the first caller between two operations. Each further caller pauses a little longer, so that their
+/// operations do not run in step.
+constexpr Milliseconds kMinPause(25);
+constexpr Milliseconds kPauseStep(2);
 constexpr Milliseconds kRunTime(12000);
 constexpr Milliseconds kSignalAt(4000);
 constexpr Milliseconds kGrace(6000);
@@ -55,7 +58,7 @@
         const std::lock_guard lock(m_mutex);
         m_cut.push_back({id, sent_at, elapsed()});
       }
-      sleep_for(kPause);
+      sleep_for(kMinPause + kPauseStep * number);
     }
   }
 
