Name prepared statements by number and send none behind a refused setup

Cause: the name of a prepared statement on a member connection was made of its access and its shape, which is text of a client. The line protocol ends a name at the first blank, so the member refused PREPARE and ran EXECUTE under the name up to there. And commands that set up a connection went out ahead of the statement, whose sending did not depend on them: a refused SET or RESET let it run with the variables of another session, which a model of the members that refuses setups shows without any blank.

Ruled out: a mix-up of the sessions' own names. The record of the stand-in shows the right shape in the refused PREPARE.

Change: names are s1, s2, ... and are never used again on a connection, so an EXECUTE behind a refused PREPARE meets an unknown name. Variables are confirmed before the statement is sent, in the phase that before checked idle connections; in a transaction a refusal rolls it back. Attempts to prepare are bounded and spaced.

--- a/drivers/net/line_stream.cc
+++ b/drivers/net/line_stream.cc
@@ -16,6 +16,8 @@
 constexpr int kListenBacklog = 1024;
 /// Seconds without traffic after which the kernel sends TCP keepalive probes.
 constexpr unsigned int kKeepAliveSeconds = 5;
+/// Line feeds or carriage returns alone are part of a line.
+constexpr std::string_view kLineEnd = "\r\n";
 
 void provide_buffer(uv_handle_t* /*handle*/, std::size_t /*suggested*/, uv_buf_t* buffer) {
   // The data of each read is processed within its callback, so all streams of a thread can share one buffer.
@@ -154,35 +156,43 @@
   void on_bytes(std::string_view bytes) {
     std::size_t begin = 0;
     while (m_events != nullptr) {
-      const std::size_t end = bytes.find('\n', begin);
+      const std::size_t end = find_line_end(bytes, begin);
       if (end == std::string_view::npos) {
         break;
       }
-      std::string_view line = bytes.substr(begin, end - begin);
+      std::string_view line = bytes.substr(begin, end + 1 - begin);
       begin = end + 1;
       std::string joined;
       if (!m_partial_line.empty()) {
         joined = std::exchange(m_partial_line, {}).append(line);
         line = joined;
       }
+      line.remove_suffix(kLineEnd.size());
       if (line.size() > m_max_line_bytes) {
         stop_at_oversized_line();
         return;
       }
-      if (line.ends_with('\r')) {
-        line.remove_suffix(1);
-      }
       m_events->on_line(line);
     }
     if (m_events == nullptr) {
       return;
     }
     m_partial_line.append(bytes.substr(begin));
-    if (m_partial_line.size() > m_max_line_bytes) {
+    if (m_partial_line.size() > m_max_line_bytes + kLineEnd.size()) {
       stop_at_oversized_line();
     }
   }
 
+  /// Returns the position of the last byte of the first line end in `bytes` at or after `begin`, or npos. The line end
+  /// may have begun in the data before.
+  std::size_t find_line_end(std::string_view bytes, std::size_t begin) const {
+    if (begin == 0 && m_partial_line.ends_with(kLineEnd.front()) && bytes.starts_with(kLineEnd.back())) {
+      return 0;
+    }
+    const std::size_t found = bytes.find(kLineEnd, begin);
+    return found == std::string_view::npos ? found : found + 1;
+  }
+
   void stop_at_oversized_line() {
     uv_read_stop(stream());
     m_events->on_line_too_long();
--- a/drivers/net/line_stream.h
+++ b/drivers/net/line_stream.h
@@ -23,7 +23,7 @@
 
   /// The connection that connect() started is established.
   virtual void on_connected() {}
-  /// A line arrived. `line` does not include its end, which is CR LF or LF.
+  /// A line arrived. `line` does not include its end, which is CR LF; it may contain either of the two alone.
   virtual void on_line(std::string_view line) = 0;
   /// The peer sent a line that is longer than the limit. The stream stops reading.
   virtual void on_line_too_long() = 0;
--- a/servers/sessions/session.h
+++ b/servers/sessions/session.h
@@ -18,7 +18,7 @@
 /// Phase of a statement that is executed on a member.
 enum class ExecutionPhase {
   kWaiting,    // Waits for a connection or for a known primary.
-  kChecking,   // A connection unused for some time is tested before a write is sent on it.
+  kSettingUp,  // The connection gets the variables of the session; the statement follows when all are set.
   kBeginning,  // The begin of the transaction has been sent; the statement follows.
   kRunning,    // The statement has been sent; the member may have run it.
 };
--- a/servers/sessions/statement_executor.cc
+++ b/servers/sessions/statement_executor.cc
@@ -31,8 +31,8 @@
   switch (phase) {
     case ExecutionPhase::kWaiting:
       return "waiting";
-    case ExecutionPhase::kChecking:
-      return "checking";
+    case ExecutionPhase::kSettingUp:
+      return "setting_up";
     case ExecutionPhase::kBeginning:
       return "beginning";
     case ExecutionPhase::kRunning:
@@ -399,12 +399,7 @@
   m_wait_latency.record(now - execution.arrived_at);
   if (!in_transaction) {
     if (execution.writes && connection.last_reply_at + kCheckAfter < now) {
-      execution.phase = ExecutionPhase::kChecking;
-      connection.session_state = {};
-      m_connections.send(group, connection, {make_internal_command(MemberCommandKind::kReset)}, {ReplyPurpose::kCheck},
-                         now);
-      schedule_timer(session);
-      return;
+      connection.session_state.values.reset();
     }
     send_statement(session, group, connection, now);
     return;
@@ -412,7 +407,7 @@
   MemberCommand begin = make_internal_command(session.transaction_read_only ? MemberCommandKind::kBeginReadOnly
                                                                             : MemberCommandKind::kBegin);
   begin.required = required_position_at(session, group, connection.member);
-  std::vector<MemberCommand> commands = plan_setup(connection.session_state, session.values, needed_statement(session));
+  std::vector<MemberCommand> commands = plan_values(connection.session_state, session.values);
   std::vector<ReplyPurpose> purposes(commands.size(), ReplyPurpose::kSetup);
   commands.push_back(begin);
   purposes.push_back(ReplyPurpose::kBegin);
@@ -424,6 +419,19 @@
   schedule_timer(session);
 }
 
+bool StatementExecutor::set_up(Session& session, UpstreamGroup& group, MemberConnection& connection, TimePoint now) {
+  const std::vector<MemberCommand> commands = plan_values(connection.session_state, session.values);
+  if (commands.empty()) {
+    return false;
+  }
+  session.execution->phase = ExecutionPhase::kSettingUp;
+  session.execution->phase_since = now;
+  m_connections.send(group, connection, commands, std::vector<ReplyPurpose>(commands.size(), ReplyPurpose::kSetup),
+                     now);
+  schedule_timer(session);
+  return true;
+}
+
 std::optional<PreparedStatement> StatementExecutor::needed_statement(const Session& session) const {
   const SessionStatement& statement = session.execution->statement;
   if (statement.kind != StatementKind::kExecute) {
@@ -433,7 +441,7 @@
   return found == session.prepared.end() ? std::nullopt : std::optional<PreparedStatement>(found->second);
 }
 
-MemberCommand StatementExecutor::command_for(const Session& session) const {
+MemberCommand StatementExecutor::command_for(const Session& session, const MemberConnection& connection) const {
   const SessionStatement& statement = session.execution->statement;
   MemberCommand command;
   command.id = statement.id;
@@ -448,7 +456,7 @@
     case StatementKind::kExecute: {
       const PreparedStatement prepared = needed_statement(session).value_or(PreparedStatement{});
       command.kind = MemberCommandKind::kExecute;
-      command.name = prepared.shared_name();
+      command.name = connection.session_state.prepared.at(prepared);
       command.access = prepared.access;
       break;
     }
@@ -461,10 +469,19 @@
 
 void StatementExecutor::send_statement(Session& session, UpstreamGroup& group, MemberConnection& connection,
                                        TimePoint now) {
+  if (set_up(session, group, connection, now)) {
+    return;
+  }
   Execution& execution = *session.execution;
-  std::vector<MemberCommand> commands = plan_setup(connection.session_state, session.values, needed_statement(session));
-  std::vector<ReplyPurpose> purposes(commands.size(), ReplyPurpose::kSetup);
-  commands.push_back(command_for(session));
+  std::vector<MemberCommand> commands;
+  std::vector<ReplyPurpose> purposes;
+  if (const auto needed = needed_statement(session); needed.has_value()) {
+    if (auto prepare = plan_prepare(connection.session_state, *needed); prepare.has_value()) {
+      commands.push_back(std::move(*prepare));
+      purposes.push_back(ReplyPurpose::kPrepare);
+    }
+  }
+  commands.push_back(command_for(session, connection));
   purposes.push_back(ReplyPurpose::kStatement);
   const bool single_read = !connection.in_transaction && !execution.writes;
   if (single_read) {
--- a/servers/sessions/statement_executor.h
+++ b/servers/sessions/statement_executor.h
@@ -50,13 +50,15 @@
 /// connections and timeouts into an answer that says correctly whether the statement may have run.
 class StatementExecutor final : public MemberLinkEvents {
  public:
-  /// Timeout of a connection check and of the begin of a transaction. Neither takes a slot at the member.
+  /// Timeout of the setup of a connection and of the begin of a transaction. Neither takes a slot at the member.
   static constexpr Duration kBeginTimeout = std::chrono::milliseconds(250);
-  /// Time without a reply after which a connection is checked before a write is sent on it. If a write is lost with its
-  /// connection, its outcome is unknown, and it cannot be retried.
+  /// Time without a reply after which a connection is reset before a write is sent on it, which shows whether it still
+  /// works. If a write is lost with its connection, its outcome is unknown, and it cannot be retried.
   static constexpr Duration kCheckAfter = std::chrono::milliseconds(700);
   /// Maximum number of attempts of one read.
   static constexpr std::uint32_t kMaxReadAttempts = 3;
+  /// Maximum number of attempts to prepare a statement within a transaction.
+  static constexpr std::uint32_t kMaxPrepareAttempts = 3;
   /// Time for which a member that failed a request is used only if no other one is available.
   static constexpr Duration kAvoidTime = std::chrono::milliseconds(600);
   /// Time for which a statement waits before this host doubts that it knows the primary.
@@ -153,11 +155,18 @@
   std::optional<LogPoint> required_position_at(const Session& session, const UpstreamGroup& group,
                                                const MemberId& member) const;
   void assign(Session& session, UpstreamGroup& group, MemberConnection& connection, TimePoint now);
+  /// Sets the session's variables on the connection. Returns false if the connection has them already; otherwise the
+  /// statement is sent when the member has confirmed them.
+  bool set_up(Session& session, UpstreamGroup& group, MemberConnection& connection, TimePoint now);
   void send_statement(Session& session, UpstreamGroup& group, MemberConnection& connection, TimePoint now);
-  MemberCommand command_for(const Session& session) const;
+  MemberCommand command_for(const Session& session, const MemberConnection& connection) const;
   std::optional<PreparedStatement> needed_statement(const Session& session) const;
 
   // Handling of replies.
+  /// Notes that the member refused a command that sets up the connection, so that its state is unknown.
+  void on_setup_refused(MemberConnection& connection, const StatementReply& reply);
+  void on_setup_reply(Session& session, UpstreamGroup& group, MemberConnection& connection, const StatementReply& reply,
+                      TimePoint now);
   void on_begin_reply(Session& session, UpstreamGroup& group, MemberConnection& connection, const StatementReply& reply,
                       TimePoint sent_at, TimePoint now);
   void on_statement_reply(Session& session, UpstreamGroup& group, MemberConnection& connection, StatementReply reply,
--- a/servers/sessions/statement_replies.cc
+++ b/servers/sessions/statement_replies.cc
@@ -14,6 +14,8 @@
 constexpr Duration kPrimaryRetryDelay = std::chrono::milliseconds(30);
 /// Delay before a read is retried after its third or a later attempt met a replica that was behind.
 constexpr Duration kLaggingRetryDelay = std::chrono::milliseconds(25);
+/// Delay before a statement is retried after a member refused to set up the connection for it.
+constexpr Duration kSetupRetryDelay = std::chrono::milliseconds(25);
 /// Average read latency above which the member is taken to have a long queue. The reads alone take tens of
 /// milliseconds.
 constexpr Duration kCongestedLatency = std::chrono::milliseconds(80);
@@ -31,6 +33,8 @@
       return kPrimaryRetryDelay;
     case StatementErrorCode::kLagging:
       return attempts < 2 ? Duration(0) : kLaggingRetryDelay;
+    case StatementErrorCode::kNotPrepared:
+      return attempts == 0 ? Duration(0) : kSetupRetryDelay;
     default:
       return Duration(0);
   }
@@ -70,6 +74,10 @@
     return;
   }
   note_position(group, *connection, reply, now);
+  const bool sets_up = expected->purpose == ReplyPurpose::kSetup || expected->purpose == ReplyPurpose::kPrepare;
+  if (sets_up && reply.error.has_value()) {
+    on_setup_refused(*connection, reply);
+  }
   Session* const session = session_of(*connection);
   const bool answers_own_command =
       expected->purpose == ReplyPurpose::kRollback || expected->purpose == ReplyPurpose::kStepDown;
@@ -80,14 +88,10 @@
   }
   switch (expected->purpose) {
     case ReplyPurpose::kSetup:
-      if (reply.error.has_value()) {
-        m_services.counters.count("session_setups_failed");
-        connection->session_state = {};
-      }
-      return;
-    case ReplyPurpose::kCheck:
-      send_statement(*session, group, *connection, now);
+      on_setup_reply(*session, group, *connection, reply, now);
       break;
+    case ReplyPurpose::kPrepare:
+      return;
     case ReplyPurpose::kBegin:
       on_begin_reply(*session, group, *connection, reply, expected->sent_at, now);
       break;
@@ -98,6 +102,40 @@
   dispatch(group, now);
 }
 
+void StatementExecutor::on_setup_refused(MemberConnection& connection, const StatementReply& reply) {
+  m_services.counters.count("session_setups_failed");
+  m_services.log.log_state_change("setup_refused", {{"group", connection.group.value()},
+                                                    {"member", connection.member.value()},
+                                                    {"code", std::string(to_string(*reply.error))},
+                                                    {"cause", reply.error_text}});
+  connection.session_state.values.reset();
+  connection.session_state.prepared.clear();
+}
+
+void StatementExecutor::on_setup_reply(Session& session, UpstreamGroup& group, MemberConnection& connection,
+                                       const StatementReply& reply, TimePoint now) {
+  if (!reply.error.has_value()) {
+    const bool is_last = session.execution->phase == ExecutionPhase::kSettingUp && connection.expected.empty();
+    if (is_last) {
+      send_statement(session, group, connection, now);
+    }
+    return;
+  }
+  const MemberId member = connection.member;
+  const bool in_transaction = session.state == TransactionState::kOpen;
+  if (in_transaction) {
+    session.pinned.reset();
+    m_connections.close(group, connection.id);
+  } else {
+    release(connection);
+  }
+  if (in_transaction && session.transaction_used) {
+    fail_transaction(session, StatementErrorCode::kAborted, "member refused the variables of the session", now);
+    return;
+  }
+  retry(session, group, member, *reply.error, kSetupRetryDelay, now);
+}
+
 void StatementExecutor::on_orphan_reply(UpstreamGroup& group, MemberConnection& connection,
                                         const ExpectedReply& expected, const StatementReply& reply, TimePoint now) {
   switch (expected.purpose) {
@@ -267,9 +305,10 @@
   if (code == StatementErrorCode::kNotPrepared) {
     connection.session_state.prepared.clear();
   }
-  const bool can_repeat = reply.state == TransactionState::kOpen &&
-                          (code == StatementErrorCode::kBusy || code == StatementErrorCode::kNotPrepared);
+  const bool can_prepare = code == StatementErrorCode::kNotPrepared && execution.attempts + 1 < kMaxPrepareAttempts;
+  const bool can_repeat = reply.state == TransactionState::kOpen && (code == StatementErrorCode::kBusy || can_prepare);
   if (can_repeat && now + kBusyRetryDelay < execution.deadline) {
+    ++session.execution->attempts;
     m_services.counters.count("statement_retries_in_transaction");
     send_statement(session, group, connection, now);
     return;
@@ -326,7 +365,8 @@
   const bool commits = execution.statement.kind == StatementKind::kCommit;
   const bool not_run = execution.phase != ExecutionPhase::kRunning;
   const bool repeatable_read = !in_transaction && !execution.writes;
-  if (not_run || repeatable_read) {
+  const bool loses_statements = in_transaction && session.transaction_used;
+  if (!loses_statements && (not_run || repeatable_read)) {
     if (now >= execution.deadline && in_transaction) {
       fail_transaction(session, StatementErrorCode::kAborted, "connection to the member was lost", now);
       return;
@@ -339,7 +379,7 @@
     retry(session, group, member, StatementErrorCode::kTimeout, Duration(0), now);
     return;
   }
-  if (in_transaction && (!commits || !execution.writes)) {
+  if (in_transaction && (not_run || !commits || !execution.writes)) {
     fail_transaction(session, StatementErrorCode::kAborted, "connection to the member was lost", now);
     return;
   }
--- a/servers/sessions/statement_timers.cc
+++ b/servers/sessions/statement_timers.cc
@@ -27,7 +27,7 @@
         next = std::min(next, execution.not_before);
       }
       break;
-    case ExecutionPhase::kChecking:
+    case ExecutionPhase::kSettingUp:
     case ExecutionPhase::kBeginning:
       next = std::min(next, execution.phase_since + kBeginTimeout);
       break;
@@ -67,7 +67,7 @@
         refuse(session, StatementErrorCode::kBusy, "no connection or primary in time", now);
       }
       return;
-    case ExecutionPhase::kChecking:
+    case ExecutionPhase::kSettingUp:
     case ExecutionPhase::kBeginning: {
       MemberConnection* const connection = m_connections.find(*execution.connection);
       const MemberId member = connection->member;
--- a/servers/sessions/upstream_connections.h
+++ b/servers/sessions/upstream_connections.h
@@ -16,8 +16,8 @@
 
 /// The command that an expected reply answers.
 enum class ReplyPurpose {
-  kSetup,      // Sets up session variables and prepared statements.
-  kCheck,      // Tests whether the connection still works.
+  kSetup,      // Sets a session variable or resets the connection. The statement waits for it.
+  kPrepare,    // Prepares the statement that follows.
   kBegin,      // Opens a transaction.
   kStatement,  // The caller's statement.
   kRollback,   // Rolls back a transaction.
--- a/tests/model/replicated_members.cc
+++ b/tests/model/replicated_members.cc
@@ -15,6 +15,11 @@
 constexpr Duration kReplacementCheckInterval = std::chrono::milliseconds(100);
 constexpr std::uint64_t kConnectionKeysPerHost = std::uint64_t{1} << 56U;
 
+bool has_blank(const std::string& name) { return name.find(' ') != std::string::npos; }
+
+/// Returns the name as a member of a line protocol reads it, where the next field begins after the first blank.
+std::string first_word(const std::string& name) { return name.substr(0, name.find(' ')); }
+
 }  // namespace
 
 /// Connections of one host. Adds an offset that depends on the host to the ids, which makes them unique among all
@@ -337,6 +342,12 @@
 void ReplicatedMembers::run_control_command(std::uint64_t key, const MemberCommand& command) {
   Connection& connection = m_connections.at(key);
   Member& member = *m_members[connection.member];
+  const bool sets_up = command.kind == MemberCommandKind::kSetValue || command.kind == MemberCommandKind::kPrepare ||
+                       command.kind == MemberCommandKind::kReset;
+  if (sets_up && (member.refuses_setup || has_blank(command.name))) {
+    answer(key, make_error_reply(connection, StatementErrorCode::kMalformed));
+    return;
+  }
   switch (command.kind) {
     case MemberCommandKind::kSetValue:
       connection.values[command.name] = command.argument;
@@ -382,13 +393,13 @@
                                       bool in_transaction) {
   Connection& connection = m_connections.at(key);
   const Member& member = *m_members[connection.member];
-  if (command.kind == MemberCommandKind::kExecute && !connection.prepared.contains(command.name)) {
+  if (command.kind == MemberCommandKind::kExecute && !connection.prepared.contains(first_word(command.name))) {
     answer(key, make_error_reply(connection, StatementErrorCode::kNotPrepared));
     return;
   }
   if (m_observer) {
     const std::string shape =
-        command.kind == MemberCommandKind::kExecute ? connection.prepared.at(command.name) : std::string();
+        command.kind == MemberCommandKind::kExecute ? connection.prepared.at(first_word(command.name)) : std::string();
     m_observer(command.id,
                {member.entry.member.value(), member.is_primary, key, in_transaction, connection.values, shape,
                 member.is_primary ? received_position(member) : applied_position(member), m_events.now()});
--- a/tests/model/replicated_members.h
+++ b/tests/model/replicated_members.h
@@ -53,6 +53,8 @@
     bool receives_no_log = false;
     /// The member answers reads and writes with BUSY.
     bool busy = false;
+    /// The member refuses commands that set variables, prepare statements or reset the connection.
+    bool refuses_setup = false;
     /// Answers to writes and commits are lost.
     bool loses_answers = false;
     /// Time between the receipt of a commit and its application.
--- a/tests/platform/kv_json_test.cc
+++ b/tests/platform/kv_json_test.cc
@@ -66,6 +66,13 @@
           R"({"service":"a","addr":"10.0.0.1:1","zone":"z","slots":3,"state":"odd"})"}) {
       CPPUNIT_ASSERT_MESSAGE(text, !decode_member("i-1", text).has_value());
     }
+    // Ids and services become fields of lines to members, where such bytes would end the field or the line.
+    for (const char* id : {"", "i 1", "i-1\r\nQUERY - RESET", "i-1\n", "\x7f"}) {
+      CPPUNIT_ASSERT_MESSAGE(id, !decode_member(id, kMember).has_value());
+    }
+    std::string odd_service = kMember;
+    odd_service.replace(odd_service.find("huvo11a"), 7, "huvo 11a");
+    CPPUNIT_ASSERT(!decode_member("i-1", odd_service).has_value());
   }
 
   // Guards against dropping valid items and events that arrive together with a malformed one.
--- a/tests/servers/sessions/session_host_random_test.cc
+++ b/tests/servers/sessions/session_host_random_test.cc
@@ -1,5 +1,6 @@
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <array>
 #include <iostream>
 #include <random>
 #include <string>
@@ -30,15 +31,29 @@
 /// Whether the store may come back from an older copy.
 enum class StoreLoss { kNone, kRestored };
 
+/// What the texts of callers' statements contain, and whether members may refuse to set up a connection for a session.
+enum class StatementTexts {
+  kPlain,
+  kOdd,  // Shapes with blanks, some of them the beginnings of others; members refuse to set up connections at times.
+};
+
+/// Circumstances of a run beside its seed.
+struct RunOptions {
+  Outside outside = Outside::kFenced;
+  StoreLoss loss = StoreLoss::kNone;
+  StatementTexts texts = StatementTexts::kPlain;
+};
+
 /// One run: callers send random statements while members, hosts and the store fail at random. Where the outside is not
 /// fenced, hosts and members are also partitioned.
 class RandomRun {
  public:
-  RandomRun(std::uint64_t seed, Outside outside, StoreLoss loss)
+  RandomRun(std::uint64_t seed, RunOptions options)
       : m_random(seed),
-        m_world(kHosts, seed, {.fenced = outside == Outside::kFenced}),
-        m_outside(outside),
-        m_loss(loss) {}
+        m_world(kHosts, seed, {.fenced = options.outside == Outside::kFenced}),
+        m_outside(options.outside),
+        m_loss(options.loss),
+        m_texts(options.texts) {}
 
   std::vector<std::string> execute() {
     for (int step = 0; step < kSteps; ++step) {
@@ -98,6 +113,10 @@
     if (!caller.open || caller.closed || !caller.sent.empty()) {
       return;
     }
+    if (m_texts == StatementTexts::kOdd && random_below(4) == 0) {
+      send_prepared_statement(index);
+      return;
+    }
     const std::string name = "n" + std::to_string(random_below(3));
     switch (random_below(12)) {
       case 0:
@@ -136,6 +155,19 @@
     }
   }
 
+  /// Prepares one of a few statements, or executes one that the caller has prepared.
+  void send_prepared_statement(std::size_t index) {
+    static const std::array<std::string, 5> kShapes = {"q", "q by_room", "q by_room by_day", "q ", " "};
+    const std::size_t number = random_below(kShapes.size());
+    const std::string name = "odd" + std::to_string(number);
+    const StatementAccess access = number % 2 == 0 ? StatementAccess::kRead : StatementAccess::kWrite;
+    if (m_prepared.insert({index, number}).second) {
+      m_world.send(index, StatementKind::kPrepare, name, kShapes[number], access);
+    } else {
+      m_world.send(index, StatementKind::kExecute, name, "by_room x", access);
+    }
+  }
+
   void inject_fault() {
     auto& members = m_world.members();
     const std::size_t index = random_below(members.size());
@@ -144,6 +176,10 @@
       change_partition(index);
       return;
     }
+    if (m_texts == StatementTexts::kOdd && random_below(4) == 0) {
+      member.refuses_setup = !member.refuses_setup;
+      return;
+    }
     const std::size_t kind = random_below(m_loss == StoreLoss::kRestored ? 15 : 11);
     m_world.add_to_trace("fault " + std::to_string(kind) + " member " + std::to_string(index));
     switch (kind) {
@@ -252,6 +288,7 @@
     for (std::size_t index = 0; index < m_world.members().size(); ++index) {
       auto& member = m_world.members().member(index);
       member.receives_no_log = member.busy = member.loses_answers = member.entry.leaving = false;
+      member.refuses_setup = false;
       member.lag = std::chrono::milliseconds(8);
     }
     m_world.store().down = false;
@@ -265,6 +302,9 @@
   SessionWorld m_world;
   Outside m_outside;
   StoreLoss m_loss;
+  StatementTexts m_texts;
+  /// Callers and the numbers of the statements that they have sent to be prepared.
+  std::set<std::pair<std::size_t, std::size_t>> m_prepared;
   std::set<std::size_t> m_stopped_hosts;
   int m_crashed_members = 0;
 };
@@ -275,6 +315,7 @@
   CPPUNIT_TEST(guarantees_hold_without_fences);
   CPPUNIT_TEST(guarantees_hold_with_restored_stores);
   CPPUNIT_TEST(guarantees_hold_with_restored_stores_and_without_fences);
+  CPPUNIT_TEST(guarantees_hold_with_odd_texts_and_refused_setups);
   CPPUNIT_TEST(commits_of_a_lost_replica_survive_a_change_of_the_duty_holder);
   CPPUNIT_TEST_SUITE_END();
 
@@ -285,7 +326,7 @@
   void guarantees_hold_under_random_faults() {
     std::uint64_t promotions = 0;
     for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
-      promotions += expect_no_violations(seed, Outside::kFenced);
+      promotions += expect_no_violations(seed, {});
     }
     CPPUNIT_ASSERT_MESSAGE("too few runs replaced a primary", promotions > 10);
   }
@@ -295,7 +336,7 @@
   void guarantees_hold_without_fences() {
     std::uint64_t promotions = 0;
     for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
-      promotions += expect_no_violations(seed, Outside::kUnfenced);
+      promotions += expect_no_violations(seed, {.outside = Outside::kUnfenced});
     }
     CPPUNIT_ASSERT_MESSAGE("too few runs replaced a primary", promotions > 10);
   }
@@ -303,25 +344,33 @@
   // Guards against beliefs about the store that outlive a restoration from an older copy, beside all other faults.
   void guarantees_hold_with_restored_stores() {
     for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
-      expect_no_violations(seed, Outside::kFenced, StoreLoss::kRestored);
+      expect_no_violations(seed, {.loss = StoreLoss::kRestored});
     }
   }
 
   // Guards against the same where nothing but the hosts themselves keeps promotions in order.
   void guarantees_hold_with_restored_stores_and_without_fences() {
     for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
-      expect_no_violations(seed, Outside::kUnfenced, StoreLoss::kRestored);
+      expect_no_violations(seed, {.outside = Outside::kUnfenced, .loss = StoreLoss::kRestored});
+    }
+  }
+
+  // Guards against statements that run as another one or with other variables than their session's, whatever their
+  // texts contain and whatever the member answers to the commands that set up a connection.
+  void guarantees_hold_with_odd_texts_and_refused_setups() {
+    for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+      expect_no_violations(seed, {.texts = StatementTexts::kOdd});
     }
   }
 
   // Guards against the loss of commits that only a lost replica and a leaving primary hold, if another host takes over
   // the failover duty meanwhile.
-  void commits_of_a_lost_replica_survive_a_change_of_the_duty_holder() { expect_no_violations(234, Outside::kFenced); }
+  void commits_of_a_lost_replica_survive_a_change_of_the_duty_holder() { expect_no_violations(234, {}); }
 
  private:
   /// Executes the run with the given seed and returns the number of promotions.
-  static std::uint64_t expect_no_violations(std::uint64_t seed, Outside outside, StoreLoss loss = StoreLoss::kNone) {
-    RandomRun run(seed, outside, loss);
+  static std::uint64_t expect_no_violations(std::uint64_t seed, RunOptions options) {
+    RandomRun run(seed, options);
     const std::vector<std::string> violations = run.execute();
     if (!violations.empty()) {
       print(run.trace());
--- a/tests/servers/sessions/session_host_test.cc
+++ b/tests/servers/sessions/session_host_test.cc
@@ -18,6 +18,10 @@
   CPPUNIT_TEST(hosts_take_leases_and_find_each_other);
   CPPUNIT_TEST(session_reads_its_own_write);
   CPPUNIT_TEST(values_and_prepared_statements_are_kept_per_session);
+  CPPUNIT_TEST(prepared_statement_with_a_blank_runs_no_other_statement);
+  CPPUNIT_TEST(statement_waits_for_variables_that_the_member_refuses);
+  CPPUNIT_TEST(refused_variables_in_a_transaction_abort_it);
+  CPPUNIT_TEST(refused_preparation_ends_within_the_timeout);
   CPPUNIT_TEST(transaction_is_atomic);
   CPPUNIT_TEST(busy_member_gets_no_write_twice);
   CPPUNIT_TEST(disconnect_rolls_the_transaction_back);
@@ -96,6 +100,83 @@
     expect_no_violations(world);
   }
 
+  // Guards against a name on the connection that is built from the statement: the member ends it at the first blank and
+  // runs the statement of another session that has the name up to there.
+  void prepared_statement_with_a_blank_runs_no_other_statement() {
+    SessionWorld world(1);
+    for (const char* shape : {"q", "q by_room", "q by_room by_day", "q ", "", " "}) {
+      for (const StatementAccess access : {StatementAccess::kRead, StatementAccess::kWrite}) {
+        const std::size_t caller = world.open_session(0, SessionWorld::kPrimaryReads);
+        world.send_and_wait(caller, StatementKind::kPrepare, "p", shape, access);
+        CPPUNIT_ASSERT(!world.send_and_wait(caller, StatementKind::kExecute, "p", "x", access).error.has_value());
+      }
+    }
+    expect_no_violations(world);
+  }
+
+  // Guards against a statement that runs with the variables of another session, because the member refused the commands
+  // sent ahead of it.
+  void statement_waits_for_variables_that_the_member_refuses() {
+    SessionWorld world(1);
+    const std::size_t plain = world.open_session(0, SessionWorld::kPrimaryReads);
+    const std::size_t with_variable = world.open_session(0, SessionWorld::kPrimaryReads);
+    world.send_and_wait(with_variable, StatementKind::kSetValue, "room", "7");
+    world.send_and_wait(with_variable, StatementKind::kWrite);
+    for (const bool refuses : {true, false}) {
+      world.members().member(0).refuses_setup = refuses;
+      for (const std::size_t caller : {plain, with_variable}) {
+        for (const StatementKind kind : {StatementKind::kRead, StatementKind::kWrite}) {
+          world.send_and_wait(caller, kind);
+        }
+      }
+      world.run_for(kSecond);
+    }
+    CPPUNIT_ASSERT(!world.send_and_wait(plain, StatementKind::kWrite).error.has_value());
+    CPPUNIT_ASSERT(!world.send_and_wait(with_variable, StatementKind::kWrite).error.has_value());
+    expect_no_violations(world);
+  }
+
+  // Guards against a transaction that goes on with other variables than its session has set, or that begins again after
+  // one of its statements has run.
+  void refused_variables_in_a_transaction_abort_it() {
+    SessionWorld world(1);
+    const std::size_t caller = world.open_session(0, SessionWorld::kPrimaryReads);
+    for (const StatementKind last : {StatementKind::kWrite, StatementKind::kCommit}) {
+      world.send_and_wait(caller, StatementKind::kBegin);
+      CPPUNIT_ASSERT(!world.send_and_wait(caller, StatementKind::kWrite).error.has_value());
+      world.members().member(0).refuses_setup = true;
+      world.send_and_wait(caller, StatementKind::kSetValue, "room", last == StatementKind::kWrite ? "7" : "8");
+      CPPUNIT_ASSERT(world.send_and_wait(caller, last).error == StatementErrorCode::kAborted);
+      world.members().member(0).refuses_setup = false;
+      if (world.caller(caller).state != TransactionState::kIdle) {
+        world.send_and_wait(caller, StatementKind::kRollback);
+      }
+    }
+    CPPUNIT_ASSERT(!world.send_and_wait(caller, StatementKind::kWrite).error.has_value());
+    expect_no_violations(world);
+  }
+
+  // Guards against a statement that is prepared again without end, and against the answer that its name is unknown
+  // although its preparation was acknowledged.
+  void refused_preparation_ends_within_the_timeout() {
+    SessionWorld world(1);
+    const std::size_t caller = world.open_session(0, SessionWorld::kPrimaryReads);
+    world.send_and_wait(caller, StatementKind::kPrepare, "p", "q", StatementAccess::kWrite);
+    world.members().member(0).refuses_setup = true;
+    const StatementReply single =
+        world.send_and_wait(caller, StatementKind::kExecute, "p", "x", StatementAccess::kWrite);
+    CPPUNIT_ASSERT(single.error == StatementErrorCode::kBusy);
+    world.send_and_wait(caller, StatementKind::kBegin);
+    world.members().member(0).refuses_setup = false;
+    CPPUNIT_ASSERT(!world.send_and_wait(caller, StatementKind::kWrite).error.has_value());
+    world.members().member(0).refuses_setup = true;
+    const StatementReply in_transaction =
+        world.send_and_wait(caller, StatementKind::kExecute, "p", "x", StatementAccess::kWrite);
+    CPPUNIT_ASSERT(in_transaction.error == StatementErrorCode::kAborted);
+    CPPUNIT_ASSERT(world.counters(0).value("session_setups_failed") < 50);
+    expect_no_violations(world);
+  }
+
   // Guards against statements of one transaction that run on different connections, and against a transaction that
   // takes effect without a commit.
   void transaction_is_atomic() {
--- a/tests/servers/sessions/session_parts_test.cc
+++ b/tests/servers/sessions/session_parts_test.cc
@@ -1,6 +1,9 @@
 #include <cppunit/extensions/HelperMacros.h>
 #include <rapidcheck.h>
 
+#include <algorithm>
+#include <cctype>
+
 #include "servers/failover/evidence_board.h"
 #include "servers/sessions/admission_window.h"
 #include "servers/sessions/connection_setup.h"
@@ -17,6 +20,8 @@
   CPPUNIT_TEST_SUITE(SessionPartsTest);
   CPPUNIT_TEST(window_shrinks_once_per_burst_and_grows_again);
   CPPUNIT_TEST(setup_gives_a_connection_exactly_the_state_of_the_session);
+  CPPUNIT_TEST(names_of_prepared_statements_are_single_words_and_never_reused);
+  CPPUNIT_TEST(connection_of_unknown_state_is_reset);
   CPPUNIT_TEST(evidence_gives_the_lowest_sufficient_position);
   CPPUNIT_TEST(samples_of_several_hosts_give_nearly_the_lowest_position);
   CPPUNIT_TEST(replica_that_is_known_to_be_behind_gets_no_reads);
@@ -52,7 +57,11 @@
       for (const auto& values : sessions) {
         const PreparedStatement statement{values.size() % 2 == 0 ? StatementAccess::kRead : StatementAccess::kWrite,
                                           "q" + std::to_string(values.size())};
-        for (const MemberCommand& command : plan_setup(session_state, values, statement)) {
+        std::vector<MemberCommand> commands = plan_values(session_state, values);
+        if (const auto prepare = plan_prepare(session_state, statement); prepare.has_value()) {
+          commands.push_back(*prepare);
+        }
+        for (const MemberCommand& command : commands) {
           if (command.kind == MemberCommandKind::kReset) {
             replayed_values.clear();
             replayed_prepared.clear();
@@ -63,11 +72,44 @@
           }
         }
         RC_ASSERT(replayed_values == values);
-        RC_ASSERT(replayed_prepared.at(statement.shared_name()) == statement.shape);
+        RC_ASSERT(replayed_prepared.at(session_state.prepared.at(statement)) == statement.shape);
       }
     }));
   }
 
+  // Guards against two statements that share a name on one connection, whatever bytes their texts have and whether the
+  // member accepted an earlier one.
+  void names_of_prepared_statements_are_single_words_and_never_reused() {
+    CPPUNIT_ASSERT(rc::check([](const std::vector<std::pair<bool, std::string>>& statements) {
+      ConnectionSessionState session_state;
+      std::map<std::string, PreparedStatement> by_name;
+      for (const auto& [writes, shape] : statements) {
+        if (shape.size() % 5 == 4) {
+          session_state.prepared.clear();
+        }
+        const PreparedStatement statement{writes ? StatementAccess::kWrite : StatementAccess::kRead, shape};
+        const auto prepare = plan_prepare(session_state, statement);
+        if (!prepare.has_value()) {
+          RC_ASSERT(by_name.at(session_state.prepared.at(statement)) == statement);
+          continue;
+        }
+        RC_ASSERT(by_name.emplace(prepare->name, statement).second);
+        RC_ASSERT(std::all_of(prepare->name.begin(), prepare->name.end(),
+                              [](unsigned char character) { return std::isalnum(character) != 0; }));
+      }
+    }));
+  }
+
+  // Guards against variables of an earlier session that stay because the member refused the command that removes them.
+  void connection_of_unknown_state_is_reset() {
+    ConnectionSessionState session_state;
+    session_state.values.reset();
+    const std::vector<MemberCommand> commands = plan_values(session_state, {{"room", "7"}});
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, commands.size());
+    CPPUNIT_ASSERT(commands.front().kind == MemberCommandKind::kReset);
+    CPPUNIT_ASSERT(plan_values(session_state, {{"room", "7"}}).empty());
+  }
+
   // Guards against a position that lacks a commit acknowledged before the bound. The result is compared with a scan of
   // all samples.
   void evidence_gives_the_lowest_sufficient_position() {
--- a/tests/soak/soak_caller.cc
+++ b/tests/soak/soak_caller.cc
@@ -170,13 +170,20 @@
   }
 }
 
+std::string SoakCaller::random_argument(StatementKind kind) {
+  static constexpr std::array<std::string_view, 5> kOddTexts = {"x", "x by_room", "x by_room by_day", " x", "x "};
+  const std::size_t number = random_below(kOddTexts.size());
+  const bool is_setup = kind == StatementKind::kPrepare || kind == StatementKind::kSetValue;
+  return m_shared.odd_texts && is_setup ? std::string(kOddTexts[number]) : "x" + std::to_string(number);
+}
+
 void SoakCaller::send_statement(StatementKind kind, const std::string& name, StatementAccess access) {
   m_statement = {};
   m_statement.id = RequestId("s" + std::to_string(++m_shared.last_id));
   m_statement.kind = kind;
   m_statement.name = name;
   m_statement.access = access;
-  m_statement.argument = "x" + std::to_string(random_below(5));
+  m_statement.argument = random_argument(kind);
   m_shared.checker.on_sent(m_session, m_statement, m_shared.clock());
   m_reply_pending = true;
   send("QUERY " + m_statement.id.value() + " " + statement_text(m_statement) + "\r\n");
--- a/tests/soak/soak_caller.h
+++ b/tests/soak/soak_caller.h
@@ -35,6 +35,8 @@
     Clock clock;
     SoakTotals totals;
     std::uint64_t last_id = 0;
+    /// Prepared statements and values of session variables contain blanks, and some begin like others.
+    bool odd_texts = false;
   };
 
   /// Called when the session has ended, with the number of statements it was served.
@@ -59,6 +61,7 @@
   void send_statement(StatementKind kind, const std::string& name = {},
                       StatementAccess access = StatementAccess::kRead);
   void pause();
+  std::string random_argument(StatementKind kind);
   std::size_t random_below(std::size_t count) {
     return std::uniform_int_distribution<std::size_t>(0, count - 1)(m_random);
   }
--- a/tests/soak/soak_main.cc
+++ b/tests/soak/soak_main.cc
@@ -15,6 +15,7 @@
 DEFINE_bool(unfenced, false,
             "a replaced primary goes on until it is told to step down, and outdated promotion tokens are accepted");
 DEFINE_bool(restored, false, "the platform's store may come back from an older copy");
+DEFINE_bool(odd, false, "statements of callers contain blanks where the line protocol allows them");
 DEFINE_string(folder, "",
               "folder for the settings and logs of the hosts; empty: a temporary folder, kept if the run fails");
 DEFINE_bool(print_faults, false, "print each fault");
@@ -43,6 +44,7 @@
     settings.callers = FLAGS_callers;
     settings.fenced = !FLAGS_unfenced;
     settings.restores_store = FLAGS_restored;
+    settings.odd_texts = FLAGS_odd;
     settings.program = (program_path.parent_path() / "teaselrudder-platform").string();
     settings.folder = folder.string();
     settings.prints_faults = FLAGS_print_faults;
--- a/tests/soak/soak_run.cc
+++ b/tests/soak/soak_run.cc
@@ -36,7 +36,7 @@
       m_checker(m_members, kMaxStaleness),
       m_restart_at(m_settings.hosts),
       m_served_by_host(m_settings.hosts),
-      m_shared{m_checker, [this] { return m_events.now(); }, {}, 0},
+      m_shared{m_checker, [this] { return m_events.now(); }, {}, 0, m_settings.odd_texts},
       m_callers(m_settings.callers) {
   uv_loop_init(&m_loop);
   m_members.replaced_primary_continues = !m_settings.fenced;
--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -24,6 +24,8 @@
   bool fenced = true;
   /// The platform's store may come back from an older copy.
   bool restores_store = false;
+  /// Statements of callers contain texts that could be taken for several fields of a line.
+  bool odd_texts = false;
   /// Path of the executable that each host runs.
   std::string program;
   /// Existing folder for the settings and logs of the hosts.
