Grant leases only on a primary that has confirmed its role to this holder

Cause: a new holder of the duty granted leases on the leader that was announced last, as far as it knew. The former holder had announced another one, but only inside the cut; 300 ms of waiting for reports cannot make up for that. The former primary reported in every status that it is a replica, which began a replacement and did not end the grants.

Ruled out by the logs: overlapping leases of the two holders (the reads go on for seconds after both have run out), and hosts that keep an old lease.

Change: a lease needs a proof that is not older than the duty: a status report of the leader in its term, or a position of its term whose request was sent since. Any other leader that a former holder announced was promoted before that, and the former primary knows it. A report to be a replica ends the proof. Where a replaced primary may go on (no fencing tokens checked) its own report proves nothing, so there an announcement waits for its record in the store while any host reaches it, and a holder hands out leases only when it has read the store up to its own duty record.

Cost of a fresh read: no message and no round trip, before or after.

--- a/servers/catalogue/leader_records.h
+++ b/servers/catalogue/leader_records.h
@@ -15,9 +15,11 @@
 /// Records of the announced leaders in the platform's store, one key per group, without a lease.
 ///
 /// They let a host that has just started use a primary, and a new holder of the failover duty grant leases on it,
-/// without waiting until the leases of a former holder have run out. An announcement never waits for its record: while
-/// the store is unreachable, hosts learn the leader from each other's reports. A store that was restored from an older
-/// copy may have lost records; the holder of the duty then writes them again.
+/// without waiting until the leases of a former holder have run out. Where a replaced primary may go on, an
+/// announcement waits for its record as long as some host reaches the store: a holder that is cut off from it would
+/// otherwise announce a leader that the next holder cannot know of. While no host reaches the store, hosts learn the
+/// leader from each other's reports. A store that was restored from an older copy may have lost records; the holder of
+/// the duty then writes them again.
 class LeaderRecords final : private CoordinationEvents {
  public:
   static constexpr std::string_view kPrefix = "leaders/";
@@ -38,10 +40,13 @@
   /// written.
   bool lacks(const GroupId& group, const GroupLeader& leader) const;
 
+  /// Returns true if the store has recorded the leader of `term` or of a later one.
+  bool is_recorded(const GroupId& group, Term term) const;
+
   /// Returns the recorded leader of `group`; nothing if there is no valid record.
   std::optional<GroupLeader> recorded(const GroupId& group) const;
 
-  /// Records `leader`, which this host has announced, unless a later term is recorded.
+  /// Records `leader`, which this host has announced or is about to announce, unless a later term is recorded.
   void record(const GroupId& group, const GroupLeader& leader);
 
   /// Sends the writes that are due, one per group at a time.
@@ -62,7 +67,6 @@
 
   void on_coordination_result(StoreCallId call, tl::expected<CoordinationResult, CoordinationError> outcome,
                               TimePoint now) override;
-  bool is_recorded(const GroupId& group, Term term) const;
 
   CoordinationPort& m_store;
   Counters& m_counters;
--- a/servers/failover/failover_duty.cc
+++ b/servers/failover/failover_duty.cc
@@ -137,6 +137,12 @@
 }
 
 void FailoverDuty::announce_leader(const UpstreamGroup& group, GroupMonitor& monitor, TimePoint now) {
+  // Where a replaced primary may go on, only the record tells a later holder of the duty that it was replaced.
+  // Elsewhere the former primary itself does.
+  if (!m_services.tokens_are_checked && monitor.leases.is_announcement_due(now) &&
+      !m_services.listener.is_leader_recorded(group.id(), *monitor.leases.unannounced(), now)) {
+    return;
+  }
   if (const auto leader = monitor.leases.take_leader(group.term(), now); leader.has_value()) {
     m_services.log.log_state_change("leader_announced", {{"group", group.id().value()},
                                                          {"member", leader->member.value()},
@@ -170,10 +176,30 @@
   // The survey of a replacement does not disturb a primary that answers, and may find that it keeps its role.
   const bool is_disturbed =
       monitor.replacement->is_running() && monitor.replacement->state() != ReplacementState::kSurveying;
-  if (group.term() == Term(0) || is_disturbed || is_suspected(group, monitor, board, now)) {
+  if (group.term() == Term(0) || !group.primary().has_value() || is_disturbed ||
+      is_suspected(group, monitor, board, now)) {
+    return;
+  }
+  confirm_by_position(group, monitor);
+  monitor.leases.grant({*group.primary(), group.term()}, now);
+}
+
+void FailoverDuty::confirm_by_position(const UpstreamGroup& group, GroupMonitor& monitor) {
+  const std::optional<PositionSample> newest = group.evidence().newest();
+  if (newest.has_value() && newest->position.term == group.term()) {
+    monitor.leases.on_leader_confirmed({*group.primary(), group.term()}, newest->requested_at);
+  }
+}
+
+void FailoverDuty::note_role(GroupMonitor& monitor, const ControlOutcome& outcome) {
+  if (!outcome.report.has_value()) {
     return;
   }
-  monitor.leases.grant(now);
+  if (outcome.report->is_primary) {
+    monitor.leases.on_leader_confirmed({outcome.member, outcome.report->term}, outcome.sent_at);
+  } else {
+    monitor.leases.on_leader_denied(outcome.member, outcome.sent_at);
+  }
 }
 
 void FailoverDuty::send_step_down(const UpstreamGroup& group, GroupMonitor& monitor, TimePoint now) {
@@ -261,9 +287,11 @@
                                  own.last_answer_age.has_value() && *own.last_answer_age < kProbeAfter;
   const bool asks_all = primary == nullptr || (in_doubt && monitor.replicas_checked_at + kDoubtInterval <= now);
   const Duration interval = monitor.failures > 0 ? kTickInterval : kProbeAfter;
-  // A member that only its own entry names as primary is asked at once, because its term is not known.
-  const bool unconfirmed = group.term() == Term(0) && !monitor.leases.unannounced().has_value();
-  if (primary != nullptr && (asks_all || unconfirmed || (!answered_recently && monitor.probed_at + interval <= now))) {
+  // Nothing is served under a lease, or at all if the term is not known, before the primary has shown that it leads.
+  const bool unconfirmed = !monitor.leases.unannounced().has_value() &&
+                           (primary == nullptr || !monitor.leases.is_confirmed(*monitor.leader));
+  const bool confirms = unconfirmed && monitor.probed_at + kDoubtInterval <= now;
+  if (primary != nullptr && (asks_all || confirms || (!answered_recently && monitor.probed_at + interval <= now))) {
     monitor.probed_at = now;
     send_probe(group.id(), primary->entry, now);
   }
@@ -288,6 +316,7 @@
     return;
   }
   m_now = now;
+  note_role(monitor, outcome);
   const bool from_leader = monitor.leader.has_value() && monitor.leader->member == outcome.member;
   if (outcome.report.has_value() && monitor.former == outcome.member && !outcome.report->is_primary) {
     monitor.former.reset();
--- a/servers/failover/primary_lease_grants.cc
+++ b/servers/failover/primary_lease_grants.cc
@@ -5,8 +5,23 @@
 
 namespace teaselrudder {
 
-void PrimaryLeaseGrants::grant(TimePoint now) {
-  if (!m_unannounced.has_value() && now >= m_duty_began + kTakeoverSilence) {
+void PrimaryLeaseGrants::on_leader_confirmed(const GroupLeader& leader, TimePoint sent_at) {
+  const auto denied_at = m_denied_at.find(leader.member);
+  const bool is_outdated = denied_at != m_denied_at.end() && sent_at <= denied_at->second;
+  if (sent_at >= m_duty_began && !is_outdated) {
+    m_confirmed = leader;
+  }
+}
+
+void PrimaryLeaseGrants::on_leader_denied(const MemberId& member, TimePoint sent_at) {
+  m_denied_at[member] = sent_at;
+  if (m_confirmed.has_value() && m_confirmed->member == member) {
+    m_confirmed.reset();
+  }
+}
+
+void PrimaryLeaseGrants::grant(const GroupLeader& announced, TimePoint now) {
+  if (is_confirmed(announced) && !m_unannounced.has_value() && now >= m_duty_began + kTakeoverSilence) {
     m_granted_until = now + kTimeToLive;
   }
 }
@@ -27,7 +42,7 @@
   if (m_unannounced.has_value() && m_unannounced->term <= announced) {
     m_unannounced.reset();
   }
-  if (!m_unannounced.has_value() || now < all_ended_at()) {
+  if (!is_announcement_due(now)) {
     return std::nullopt;
   }
   m_granted_until.reset();
--- a/servers/failover/primary_lease_grants.h
+++ b/servers/failover/primary_lease_grants.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <map>
 #include <optional>
 
 #include "core/group_leader.h"
@@ -15,6 +16,10 @@
 /// acknowledged commit, even if the primary was replaced and has not noticed. (Leases: Gray and Cheriton, "Leases: An
 /// Efficient Fault-Tolerant Mechanism for Distributed File Cache Consistency", 1989.)
 ///
+/// A holder knows the leaders that it announced itself. A former holder may have announced one that no host in reach
+/// has heard of, so a new holder grants leases only on a leader that has shown since the begin of the duty that it
+/// leads.
+///
 /// Hosts measure leases on clocks that also run while a machine is suspended, from the time at which the holder sent
 /// them, so only differences in the rate of the clocks matter.
 class PrimaryLeaseGrants {
@@ -32,9 +37,18 @@
 
   explicit PrimaryLeaseGrants(TimePoint duty_began) : m_duty_began(duty_began) {}
 
-  /// Grants a lease on the announced leader, unless another leader waits for its announcement or the duty has only just
-  /// begun.
-  void grant(TimePoint now);
+  /// Notes that `leader` answered, to a request sent at `sent_at`, as the primary of its term.
+  void on_leader_confirmed(const GroupLeader& leader, TimePoint sent_at);
+
+  /// Notes that `member` reported, to a request sent at `sent_at`, that it does not lead.
+  void on_leader_denied(const MemberId& member, TimePoint sent_at);
+
+  /// Returns true if `leader` has shown since the begin of the duty that it leads.
+  bool is_confirmed(const GroupLeader& leader) const { return m_confirmed == leader; }
+
+  /// Grants a lease on `announced`, unless it has not been confirmed, another leader waits for its announcement or the
+  /// duty has only just begun.
+  void grant(const GroupLeader& announced, TimePoint now);
 
   /// Returns the end of the lease that reports may pass on; nothing if none has been granted.
   std::optional<TimePoint> granted_until() const { return m_granted_until; }
@@ -48,6 +62,9 @@
   /// Returns the leader that waits for its announcement.
   const std::optional<GroupLeader>& unannounced() const { return m_unannounced; }
 
+  /// Returns true if a leader waits for its announcement and the leases of earlier terms have run out.
+  bool is_announcement_due(TimePoint now) const { return m_unannounced.has_value() && now >= all_ended_at(); }
+
   /// Returns the waiting leader once the leases of earlier terms have run out. Drops it if `announced` is a later term.
   std::optional<GroupLeader> take_leader(Term announced, TimePoint now);
 
@@ -55,6 +72,9 @@
   TimePoint m_duty_began;
   std::optional<TimePoint> m_granted_until;
   std::optional<GroupLeader> m_unannounced;
+  std::optional<GroupLeader> m_confirmed;
+  /// When each member that reported that it does not lead was last asked.
+  std::map<MemberId, TimePoint> m_denied_at;
 };
 
 }  // namespace teaselrudder
--- a/servers/session_host/session_host.cc
+++ b/servers/session_host/session_host.cc
@@ -295,6 +295,16 @@
   }
 }
 
+bool SessionHost::is_leader_recorded(const GroupId& group, const GroupLeader& leader, TimePoint now) {
+  if (m_leaders.is_recorded(group, leader.term)) {
+    return true;
+  }
+  if (m_leaders.lacks(group, leader)) {
+    m_leaders.record(group, leader);
+  }
+  return store_is_unreachable_for_all(now);
+}
+
 void SessionHost::on_leader_announced(const GroupId& group, const GroupLeader& leader, TimePoint now) {
   m_announcements_left = kPrimaryAnnouncements;
   m_next_report = now;
@@ -336,9 +346,14 @@
   }
 }
 
+bool SessionHost::has_read_store_of_former_holder() const {
+  const std::optional<RecordVersion> held = m_duty.held_version();
+  return held.has_value() && (held->era != m_store_era || m_view.revision() >= held->revision);
+}
+
 void SessionHost::apply_own_leases(TimePoint now) {
   const std::optional<FencingToken> token = duty_token(now);
-  if (!token.has_value()) {
+  if (!token.has_value() || !has_read_store_of_former_holder()) {
     return;
   }
   m_newest_duty_token = std::max(m_newest_duty_token, token->value());
--- a/servers/session_host/session_host.h
+++ b/servers/session_host/session_host.h
@@ -120,6 +120,7 @@
   void on_store_regained(TimePoint now) override;
   void on_store_listed(TimePoint now) override;
   void on_primary_position(const GroupId& group, const LogPoint& position, TimePoint at) override;
+  bool is_leader_recorded(const GroupId& group, const GroupLeader& leader, TimePoint now) override;
   void on_leader_announced(const GroupId& group, const GroupLeader& leader, TimePoint now) override;
 
   std::optional<FencingToken> duty_token(TimePoint now) const;
@@ -138,6 +139,9 @@
   void record_missing_leaders(TimePoint now);
   /// Applies the recorded leader of the group, which has been announced.
   void apply_recorded_leader(const GroupId& group, TimePoint now);
+  /// Returns true if this host has read what was in the store when it took the failover duty, for example the leaders
+  /// that the former holder recorded.
+  bool has_read_store_of_former_holder() const;
   /// Gives this host the leases that it grants as the holder of the failover duty.
   void apply_own_leases(TimePoint now);
   /// Applies a lease in the report of another host. Leases of a former holder of the duty are ignored.
--- a/tests/servers/failover/failover_duty_test.cc
+++ b/tests/servers/failover/failover_duty_test.cc
@@ -93,6 +93,10 @@
   CPPUNIT_TEST(primary_that_does_not_answer_most_hosts_is_replaced_without_probes);
   CPPUNIT_TEST(primary_that_answers_one_host_is_not_replaced);
   CPPUNIT_TEST(probes_of_many_groups_stay_within_their_budget);
+  CPPUNIT_TEST(no_lease_is_granted_on_a_former_primary_that_reports_to_be_a_replica);
+  CPPUNIT_TEST(no_lease_is_granted_on_a_primary_that_has_shown_nothing_since_the_duty_began);
+  CPPUNIT_TEST(position_since_the_duty_began_confirms_a_primary_that_the_holder_cannot_reach);
+  CPPUNIT_TEST(leader_is_announced_after_its_record_where_a_replaced_primary_goes_on);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -102,9 +106,9 @@
     m_counters = std::make_unique<Counters>();
     m_board = std::make_unique<EvidenceBoard>();
     m_replacements = 0;
-    FailoverServices services{*m_members, model::read_model_report, *m_members, *this, [] {}, *m_counters,
-                              *this,      HostId("host0")};
-    m_duty = std::make_unique<FailoverDuty>(std::move(services), load_replacement_chart().value());
+    m_announcements = 0;
+    m_is_leader_recorded = true;
+    make_duty(true);
     m_groups.clear();
     UpstreamGroup& group = m_groups.try_emplace(kGroup, kGroup).first->second;
     group.configure({kGroup, 22, true});
@@ -191,9 +195,76 @@
     CPPUNIT_ASSERT_EQUAL(0, m_replacements);
   }
 
+  // Guards against reads on the log of a former primary: the holder of the duty before had announced a newer one, which
+  // nobody in reach of the new holder knows of.
+  void no_lease_is_granted_on_a_former_primary_that_reports_to_be_a_replica() {
+    m_members->rows[MemberId("m0")] = "replica 1 1 9 0";
+    expect_leases(false, std::chrono::milliseconds(600));
+    m_members->rows[MemberId("m0")] = "primary 1 1 9 0";
+    expect_leases(true, std::chrono::milliseconds(1500));
+    m_members->rows[MemberId("m0")] = "replica 1 1 9 0";
+    m_groups.at(kGroup).doubt_primary(m_now);
+    expect_leases(false, std::chrono::milliseconds(1500));
+  }
+
+  // Guards against leases on nothing but an announcement from before the duty.
+  void no_lease_is_granted_on_a_primary_that_has_shown_nothing_since_the_duty_began() {
+    m_groups.at(kGroup).on_primary_position({Term(1), LogPosition(5)}, m_now - Duration(1));
+    run_for(std::chrono::milliseconds(600), true, false);
+    CPPUNIT_ASSERT(!m_duty->granted_until(kGroup).has_value());
+  }
+
+  // Guards against fresh reads that are refused everywhere while only the new holder cannot reach the primary.
+  void position_since_the_duty_began_confirms_a_primary_that_the_holder_cannot_reach() {
+    run_for(kTick, true, false);
+    m_groups.at(kGroup).on_primary_position({Term(1), LogPosition(5)}, m_now);
+    run_for(std::chrono::milliseconds(400), true, false);
+    CPPUNIT_ASSERT(m_duty->granted_until(kGroup).has_value());
+  }
+
+  // Guards against a leader that a later holder of the duty cannot learn of, because it was announced by a holder that
+  // did not reach the store. Where the replaced primary goes on, its own reports do not show that it was replaced.
+  void leader_is_announced_after_its_record_where_a_replaced_primary_goes_on() {
+    make_duty(false);
+    m_members->rows[MemberId("m0")] = "replica 2 1 9 0";
+    m_members->rows[MemberId("m1")] = "primary 2 1 9 0";
+    m_is_leader_recorded = false;
+    run_answered(std::chrono::seconds(4));
+    CPPUNIT_ASSERT_EQUAL(0, m_announcements);
+    m_is_leader_recorded = true;
+    run_answered(2 * kTick);
+    CPPUNIT_ASSERT_EQUAL(1, m_announcements);
+  }
+
  private:
+  void make_duty(bool tokens_are_checked) {
+    FailoverServices services{*m_members, model::read_model_report, *m_members,        *this, [] {}, *m_counters,
+                              *this,      HostId("host0"),          tokens_are_checked};
+    m_duty = std::make_unique<FailoverDuty>(std::move(services), load_replacement_chart().value());
+  }
+
+  /// Advances the time while the members answer at once.
+  void run_answered(Duration time) {
+    for (const TimePoint end = m_now + time; m_now < end;) {
+      run_for(kTick, true, false);
+      m_members->answer_all(m_now);
+    }
+  }
+
+  /// Advances the time while the members answer, and checks whether leases beyond its end are granted.
+  void expect_leases(bool granted, Duration time) {
+    run_answered(time);
+    CPPUNIT_ASSERT_EQUAL(granted, m_duty->granted_until(kGroup).value_or(TimePoint()) > m_now);
+  }
+
+  bool is_leader_recorded(const GroupId& /*group*/, const GroupLeader& /*leader*/, TimePoint /*now*/) override {
+    return m_is_leader_recorded;
+  }
   void on_primary_position(const GroupId& /*group*/, const LogPoint& /*position*/, TimePoint /*at*/) override {}
-  void on_leader_announced(const GroupId& /*group*/, const GroupLeader& /*leader*/, TimePoint /*now*/) override {}
+  void on_leader_announced(const GroupId& group, const GroupLeader& leader, TimePoint now) override {
+    ++m_announcements;
+    m_groups.at(group).update_primary(leader.member, leader.term, now);
+  }
   void log_state_change(std::string_view event, const LogFields& fields) override {
     const bool begins = std::any_of(fields.begin(), fields.end(), [](const auto& field) {
       return field.first == "from" && field.second == "watching";
@@ -240,6 +311,8 @@
   std::map<GroupId, UpstreamGroup> m_groups;
   std::unique_ptr<FailoverDuty> m_duty;
   int m_replacements = 0;
+  int m_announcements = 0;
+  bool m_is_leader_recorded = true;
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(FailoverDutyTest);
--- a/tests/servers/sessions/session_host_partition_test.cc
+++ b/tests/servers/sessions/session_host_partition_test.cc
@@ -23,6 +23,7 @@
   CPPUNIT_TEST(host_that_cannot_reach_the_primary_serves_bounded_reads);
   CPPUNIT_TEST(replaced_primary_that_continues_in_a_partition_serves_no_stale_reads);
   CPPUNIT_TEST(replaced_primary_that_one_host_still_reaches_serves_no_stale_reads);
+  CPPUNIT_TEST(leader_announced_in_a_partition_makes_no_read_stale_outside);
   CPPUNIT_TEST(host_that_alone_reaches_the_store_does_not_act_for_the_fleet);
   CPPUNIT_TEST(primary_lost_together_with_the_duty_holder_is_replaced_in_time);
   CPPUNIT_TEST(new_duty_holder_with_long_watches_replaces_a_lost_primary_in_time);
@@ -37,6 +38,14 @@
     return world.host(host).metrics(world.events().now()).find("holds_failover_duty 1") != std::string::npos;
   }
 
+  static std::size_t duty_holder(SessionWorld& world) {
+    std::size_t host = 0;
+    while (!holds_duty(world, host)) {
+      ++host;
+    }
+    return host;
+  }
+
   static std::size_t host_without_duty(SessionWorld& world) { return holds_duty(world, 0) ? 1 : 0; }
 
   /// Sends writes and reads in turn for `rounds` rounds at each of `callers`.
@@ -166,6 +175,37 @@
     expect_no_violations(world);
   }
 
+  // Guards against stale reads at a former primary: the holder of the duty is cut off together with the new primary,
+  // when this one has just been promoted, and announces it there. The next holder outside cannot know of it and granted
+  // leases on the former primary, which reported all the time that it is a replica.
+  void leader_announced_in_a_partition_makes_no_read_stale_outside() {
+    for (const bool fenced : {true, false}) {
+      for (int delay = 0; delay < 1000; delay += 100) {
+        SessionWorld world(3, 1, {.fenced = fenced});
+        const std::vector<std::size_t> callers = world.open_sessions(SessionWorld::kPrimaryReads);
+        run_statements(world, callers, 5);
+        const std::size_t holder = duty_holder(world);
+        const std::size_t former = world.members().primary();
+        world.members().member(former).entry.leaving = true;
+        world.publish_members();
+        CPPUNIT_ASSERT(world.run_until([&] { return world.members().primary() != former; }, 5 * kSecond));
+        world.run_for(std::chrono::milliseconds(delay));
+        world.isolate({holder}, {(former + 1) % 3, (former + 2) % 3});
+        for (int round = 0; round < 100; ++round) {
+          for (const std::size_t caller : callers) {
+            if (world.caller(caller).sent.empty() && !world.caller(caller).closed) {
+              world.send(caller, caller == callers[holder] ? StatementKind::kWrite : StatementKind::kRead);
+            }
+          }
+          world.run_for(std::chrono::milliseconds(50));
+        }
+        world.isolate({}, {});
+        world.run_for(3 * kSecond);
+        expect_no_violations(world);
+      }
+    }
+  }
+
   // Guards against two holders of the failover duty: the store turns most hosts away, so their records lapse, while one
   // host that still reaches it is partitioned from the others. It then took itself for the whole fleet, promoted
   // another primary and announced it, while the former holder went on granting leases on the old one.
--- a/tests/servers/sessions/session_host_random_test.cc
+++ b/tests/servers/sessions/session_host_random_test.cc
@@ -37,11 +37,18 @@
   kOdd,  // Shapes with blanks, some of them the beginnings of others; members refuse to set up connections at times.
 };
 
+/// Whether parts of the network may be cut off.
+enum class Cuts {
+  kNone,
+  kDomains,  // A host with some of the members, half of the time while the primary is being replaced.
+};
+
 /// Circumstances of a run beside its seed.
 struct RunOptions {
   Outside outside = Outside::kFenced;
   StoreLoss loss = StoreLoss::kNone;
   StatementTexts texts = StatementTexts::kPlain;
+  Cuts cuts = Cuts::kNone;
 };
 
 /// One run: callers send random statements while members, hosts and the store fail at random. Where the outside is not
@@ -53,7 +60,8 @@
         m_world(kHosts, seed, {.fenced = options.outside == Outside::kFenced}),
         m_outside(options.outside),
         m_loss(options.loss),
-        m_texts(options.texts) {}
+        m_texts(options.texts),
+        m_cuts(options.cuts) {}
 
   std::vector<std::string> execute() {
     for (int step = 0; step < kSteps; ++step) {
@@ -180,6 +188,10 @@
       member.refuses_setup = !member.refuses_setup;
       return;
     }
+    if (m_cuts == Cuts::kDomains && random_below(4) == 0) {
+      change_cut();
+      return;
+    }
     const std::size_t kind = random_below(m_loss == StoreLoss::kRestored ? 15 : 11);
     m_world.add_to_trace("fault " + std::to_string(kind) + " member " + std::to_string(index));
     switch (kind) {
@@ -257,6 +269,46 @@
     }
   }
 
+  /// Cuts off a host and some of the members, or ends the cut.
+  void change_cut() {
+    if (random_below(2) == 0) {
+      m_world.add_to_trace("fault network whole");
+      m_world.isolate({}, {});
+      return;
+    }
+    auto& members = m_world.members();
+    const std::size_t primary = members.primary();
+    const bool replaces = primary < members.size() && random_below(2) == 0;
+    if (replaces) {
+      members.member(primary).entry.leaving = true;
+      m_world.publish_members();
+      m_world.run_until([&] { return members.primary() != primary; }, std::chrono::milliseconds(1500));
+    }
+    // The former primary stays outside, where the hosts still know it as the primary.
+    std::set<std::size_t> cut_members;
+    for (std::size_t index = 0; index < members.size(); ++index) {
+      if (replaces ? index != primary : random_below(2) == 0) {
+        cut_members.insert(index);
+      }
+    }
+    const std::size_t host = replaces ? duty_holder() : random_below(kHosts);
+    m_world.add_to_trace("fault network cuts off host " + std::to_string(host) + " and " +
+                         std::to_string(cut_members.size()) + " members");
+    m_world.isolate({host}, cut_members);
+  }
+
+  /// Returns the running host that holds the failover duty, or any host if none does.
+  std::size_t duty_holder() {
+    for (std::size_t host = 0; host < kHosts; ++host) {
+      const bool is_running = !m_stopped_hosts.contains(host);
+      if (is_running &&
+          m_world.host(host).metrics(m_world.events().now()).find("holds_failover_duty 1") != std::string::npos) {
+        return host;
+      }
+    }
+    return random_below(kHosts);
+  }
+
   void kill_or_restart_host() {
     const std::size_t host = random_below(kHosts);
     if (m_stopped_hosts.contains(host)) {
@@ -303,6 +355,7 @@
   Outside m_outside;
   StoreLoss m_loss;
   StatementTexts m_texts;
+  Cuts m_cuts;
   /// Callers and the numbers of the statements that they have sent to be prepared.
   std::set<std::pair<std::size_t, std::size_t>> m_prepared;
   std::set<std::size_t> m_stopped_hosts;
@@ -316,6 +369,8 @@
   CPPUNIT_TEST(guarantees_hold_with_restored_stores);
   CPPUNIT_TEST(guarantees_hold_with_restored_stores_and_without_fences);
   CPPUNIT_TEST(guarantees_hold_with_odd_texts_and_refused_setups);
+  CPPUNIT_TEST(guarantees_hold_with_domains_cut_off_during_replacements);
+  CPPUNIT_TEST(guarantees_hold_with_domains_cut_off_and_without_fences);
   CPPUNIT_TEST(commits_of_a_lost_replica_survive_a_change_of_the_duty_holder);
   CPPUNIT_TEST_SUITE_END();
 
@@ -363,6 +418,21 @@
     }
   }
 
+  // Guards against authority that is given out on what is known on one side of a cut, while the other side goes on with
+  // a newer primary.
+  void guarantees_hold_with_domains_cut_off_during_replacements() {
+    for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+      expect_no_violations(seed, {.cuts = Cuts::kDomains});
+    }
+  }
+
+  // Guards against the same where a replaced primary goes on, so that its own reports do not show that it was replaced.
+  void guarantees_hold_with_domains_cut_off_and_without_fences() {
+    for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+      expect_no_violations(seed, {.outside = Outside::kUnfenced, .cuts = Cuts::kDomains});
+    }
+  }
+
   // Guards against the loss of commits that only a lost replica and a leaving primary hold, if another host takes over
   // the failover duty meanwhile.
   void commits_of_a_lost_replica_survive_a_change_of_the_duty_holder() { expect_no_violations(234, {}); }
