Fence orders of former duty holders instead of waiting them out

Callers saw: no commit for up to 15 s after the holder of the failover duty was lost while replicas were stopped.

Cause: replicas that a former holder stopped receive again only when its promotion orders can no longer take effect. That was waited out, also where the platform rejects orders with a lower fencing token than it has seen for the group.

Change: the new holder promotes the present primary with its own token, which by the platform's contract changes nothing else, and lets the replicas receive once that is answered. An unanswered order counts as outstanding, like any other.

--- a/servers/failover/primary_replacement.cc
+++ b/servers/failover/primary_replacement.cc
@@ -114,6 +114,7 @@
 void PrimaryReplacement::abandon() {
   m_state = m_chart->initial();
   m_unanswered_promotion.reset();
+  m_fence_ordered_for.reset();
 }
 
 bool PrimaryReplacement::is_replica(const UpstreamGroup& group, const MemberId& member) const {
@@ -430,6 +431,10 @@
 }
 
 void PrimaryReplacement::on_promotion(const MemberId& member, PromotionOutcome outcome, TimePoint now) {
+  if (m_fence_ordered_for == member) {
+    on_fence_answered(outcome);
+    return;
+  }
   if (state() != ReplacementState::kPromoting || m_candidate != member) {
     return;
   }
@@ -469,14 +474,46 @@
   if (m_promotion_sent || now < m_unanswered_promotion_until) {
     return;
   }
+  const bool former_orders_ended = m_former_orders_fenced || now >= m_input.former_orders_end_at;
+  bool awaits_former_orders = false;
   for (const auto& [member, report] : m_reports) {
     const bool by_former_holder = report.stopped_below > Term(0) && !m_own_terms.contains(report.stopped_below);
-    const bool may_resume = by_former_holder ? now >= m_input.former_orders_end_at
-                                             : m_stopped.contains(member) || report.stopped_below > Term(0);
-    if (const UpstreamMember* const known = group.find(member); known != nullptr && may_resume) {
+    if (by_former_holder && !former_orders_ended) {
+      awaits_former_orders = true;
+      continue;
+    }
+    const bool is_stopped = m_stopped.contains(member) || report.stopped_below > Term(0);
+    if (const UpstreamMember* const known = group.find(member); known != nullptr && is_stopped) {
       m_services.links.command(m_group, known->entry, MemberCommandKind::kResumeReceiving, m_term, now);
     }
   }
+  if (awaits_former_orders) {
+    fence_former_orders(now);
+  }
+}
+
+void PrimaryReplacement::fence_former_orders(TimePoint now) {
+  const auto primary = m_old_primary.has_value() ? m_reports.find(*m_old_primary) : m_reports.end();
+  const bool has_primary = primary != m_reports.end() && primary->second.is_primary;
+  if (!m_services.tokens_are_checked || !has_primary || m_fence_ordered_for.has_value()) {
+    return;
+  }
+  m_fence_ordered_for = m_old_primary;
+  // The order may be carried out late, like any other.
+  m_unanswered_promotion = {*m_old_primary, m_input.token};
+  m_unanswered_promotion_until = now + kUnansweredPromotionTime;
+  m_services.counters.count("promotions_ordered_for_fencing");
+  m_services.promote(m_group, *m_old_primary, m_input.token);
+}
+
+void PrimaryReplacement::on_fence_answered(PromotionOutcome outcome) {
+  m_fence_ordered_for.reset();
+  if (outcome == PromotionOutcome::kUnknown) {
+    return;
+  }
+  m_unanswered_promotion.reset();
+  m_unanswered_promotion_until = {};
+  m_former_orders_fenced = m_former_orders_fenced || outcome == PromotionOutcome::kDone;
 }
 
 void PrimaryReplacement::give_up(const UpstreamGroup& group, const std::string& cause, TimePoint now) {
--- a/servers/failover/primary_replacement.h
+++ b/servers/failover/primary_replacement.h
@@ -158,6 +158,10 @@
   /// Lets stopped replicas receive again if no promotion order can be outstanding. Otherwise they stay stopped until
   /// the next replacement completes.
   void resume_replicas(const UpstreamGroup& group, TimePoint now);
+  /// Makes the platform reject outstanding orders of former holders of the duty: it has seen this holder's higher token
+  /// once the present primary has been promoted again, which changes nothing else.
+  void fence_former_orders(TimePoint now);
+  void on_fence_answered(PromotionOutcome outcome);
   void give_up(const UpstreamGroup& group, const std::string& cause, TimePoint now);
 
   GroupId m_group;
@@ -193,6 +197,9 @@
   /// has taken effect.
   std::optional<std::pair<MemberId, FencingToken>> m_unanswered_promotion;
   TimePoint m_unanswered_promotion_until;
+  /// The primary whose promotion was ordered only for its token, until the answer arrives.
+  std::optional<MemberId> m_fence_ordered_for;
+  bool m_former_orders_fenced = false;
 };
 
 }  // namespace teaselrudder
--- a/tests/servers/sessions/session_host_test.cc
+++ b/tests/servers/sessions/session_host_test.cc
@@ -38,6 +38,7 @@
   CPPUNIT_TEST(late_promotion_does_not_undo_a_newer_one);
   CPPUNIT_TEST(no_promotion_after_a_replica_left_while_the_primary_was_unreachable);
   CPPUNIT_TEST(former_primary_with_the_complete_log_is_promoted_again);
+  CPPUNIT_TEST(replicas_that_a_lost_duty_holder_stopped_receive_again_in_time);
   CPPUNIT_TEST(no_promotion_while_an_unknown_replica_may_hold_commits);
   CPPUNIT_TEST(primary_with_stalled_commits_is_kept_while_a_replica_may_be_unknown);
   CPPUNIT_TEST(duty_holder_that_alone_cannot_reach_the_store_loses_the_duty);
@@ -489,6 +490,30 @@
     expect_no_violations(world);
   }
 
+  // Guards against a group that acknowledges no commit for 15 s, because a holder of the duty was lost after it had
+  // stopped the replicas and before it promoted one. The next holder could not exclude that an order was on its way.
+  void replicas_that_a_lost_duty_holder_stopped_receive_again_in_time() {
+    SessionWorld world(3);
+    const std::size_t caller = world.open_session(0, SessionWorld::kPrimaryReads);
+    CPPUNIT_ASSERT(!world.send_and_wait(caller, StatementKind::kWrite).error.has_value());
+    // The new primary has commits of its term only after the replicas have stopped, so none of them can replace it.
+    world.members().member(0).entry.leaving = true;
+    world.publish_members();
+    world.run_until([&world] { return world.members().primary() != 0; }, 3 * kSecond);
+    world.members().member(0).entry.leaving = false;
+    world.publish_members();
+    world.run_for(2 * kSecond);
+    const std::size_t primary = world.members().primary();
+    for (std::size_t member = 0; member < world.members().size(); ++member) {
+      world.members().member(member).stopped_below = member == primary ? Term(0) : Term(9);
+    }
+    const TimePoint stopped_at = world.events().now();
+    while (world.send_and_wait(caller, StatementKind::kWrite).error.has_value()) {
+      CPPUNIT_ASSERT(world.events().now() < stopped_at + 7 * kSecond);
+    }
+    expect_no_violations(world);
+  }
+
   // Guards against a replacement that overlooks a replica whose entry could not be read while the store was
   // unreachable, and which alone holds the last acknowledged commits.
   void no_promotion_while_an_unknown_replica_may_hold_commits() {
