Refuse writes in read-only transactions

Callers saw: a fresh read that misses an acknowledged write, around a planned replacement of the primary.

Cause: a read-only transaction had begun on a replica. When the replica had been promoted and its promotion was not yet announced, the caller wrote in the transaction and committed, and the new primary accepted it. Fresh reads still ran at the former primary, under leases that the announcement waits for. A trace of the commits of the new term shows it 236 ms before the announcement, on a host that knew the former primary.

Change: a write in a read-only transaction is refused by the host, and the transaction is rolled back. The checker of the tests now says when a stale read began and ran.

--- a/servers/sessions/statement_executor.cc
+++ b/servers/sessions/statement_executor.cc
@@ -198,6 +198,11 @@
   const bool in_transaction = session.state == TransactionState::kOpen;
   const bool only_reads = in_transaction ? session.transaction_read_only : !execution.writes;
   execution.needs_primary = !only_reads || session.route->freshness == ReadFreshness::kPrimary;
+  if (in_transaction && execution.writes && session.transaction_read_only) {
+    // A replica that has just been promoted would accept the write before its promotion is announced.
+    fail_transaction(session, StatementErrorCode::kReadOnly, "transaction is read-only", now);
+    return;
+  }
   if (in_transaction && execution.writes) {
     session.transaction_wrote = true;
   }
--- a/tests/model/guarantee_checker.cc
+++ b/tests/model/guarantee_checker.cc
@@ -146,7 +146,10 @@
   const LogPoint needed = m_members.acknowledged_before(limit);
   if (run.applied < needed) {
     m_violations.push_back("STALE: " + id + " at " + run.member + " with " + to_text(run.applied) + " instead of " +
-                           to_text(needed) + (run.in_transaction ? " in a transaction" : ""));
+                           to_text(needed) + (run.in_transaction ? " in a transaction" : "") + ", begun " +
+                           std::to_string(to_milliseconds(run.at - sent.started_at)) + " ms before it ran at " +
+                           std::to_string(to_milliseconds(run.at.time_since_epoch()) - 3600000) + " ms, freshness " +
+                           std::to_string(static_cast<int>(sent.freshness)));
   }
   if (sent.freshness == ReadFreshness::kOwnWrites && run.applied < sent.own_commit) {
     m_violations.push_back("STALE: the session's own commit was not visible to " + id);
--- a/tests/servers/sessions/session_host_partition_test.cc
+++ b/tests/servers/sessions/session_host_partition_test.cc
@@ -24,6 +24,7 @@
   CPPUNIT_TEST(replaced_primary_that_continues_in_a_partition_serves_no_stale_reads);
   CPPUNIT_TEST(replaced_primary_that_one_host_still_reaches_serves_no_stale_reads);
   CPPUNIT_TEST(leader_announced_in_a_partition_makes_no_read_stale_outside);
+  CPPUNIT_TEST(read_only_transaction_commits_nothing_on_a_promoted_replica);
   CPPUNIT_TEST(host_that_alone_reaches_the_store_does_not_act_for_the_fleet);
   CPPUNIT_TEST(primary_lost_together_with_the_duty_holder_is_replaced_in_time);
   CPPUNIT_TEST(new_duty_holder_with_long_watches_replaces_a_lost_primary_in_time);
@@ -206,6 +207,27 @@
     }
   }
 
+  // Guards against a commit before the announcement of the primary, when fresh reads still run at the former one: a
+  // read-only transaction had begun on a replica, and its caller wrote in it when the replica had been promoted.
+  void read_only_transaction_commits_nothing_on_a_promoted_replica() {
+    SessionWorld world(3);
+    std::vector<std::size_t> callers;
+    for (int index = 0; index < 8; ++index) {
+      const std::size_t caller = world.open_session(0, SessionWorld::kOwnReads);
+      world.send_and_wait(caller, StatementKind::kBeginReadOnly);
+      CPPUNIT_ASSERT(!world.send_and_wait(caller, StatementKind::kRead).error.has_value());
+      callers.push_back(caller);
+    }
+    world.members().member(0).entry.leaving = true;
+    world.publish_members();
+    CPPUNIT_ASSERT(world.run_until([&world] { return world.members().primary() != 0; }, 3 * kSecond));
+    for (const std::size_t caller : callers) {
+      CPPUNIT_ASSERT(world.send_and_wait(caller, StatementKind::kWrite).error == StatementErrorCode::kReadOnly);
+      CPPUNIT_ASSERT(world.caller(caller).state == TransactionState::kFailed);
+    }
+    expect_no_violations(world);
+  }
+
   // Guards against two holders of the failover duty: the store turns most hosts away, so their records lapse, while one
   // host that still reaches it is partitioned from the others. It then took itself for the whole fleet, promoted
   // another primary and announced it, while the former holder went on granting leases on the old one.
