Close busy sessions between two statements when a host stops

Cause: a session was closed only after 150 ms of rest, which a busy caller never gives, and the process ended with whatever was running. Ruled out: answers lost on their way (the log line "stopped" still counts all sessions), an early end (it comes 0.3 s before the end of the grace period).

Change: once the load balancer routes new sessions elsewhere, a session is closed right after its last answer, and an open transaction after half of the grace period. What may outlast the stop is refused as not run. What still runs 0.3 s before the end gets the answer that holds for what is known of it. The end of an execution by a timeout and by a stop is one function.

--- a/servers/sessions/session_service.cc
+++ b/servers/sessions/session_service.cc
@@ -62,6 +62,7 @@
   for (const SessionId session : std::exchange(m_closing_after_error, {})) {
     close_if_idle(session, now);
   }
+  advance_stop(now);
   if (now < m_next_sweep) {
     return;
   }
@@ -74,7 +75,8 @@
 }
 
 TimePoint SessionService::next_wakeup() const {
-  return m_closing_after_error.empty() ? std::min(m_executor.next_wakeup(), m_next_sweep) : TimePoint();
+  const bool closes_sessions = !m_closing_after_error.empty() || !m_answered_during_stop.empty();
+  return closes_sessions ? TimePoint() : std::min(m_executor.next_wakeup(), m_next_sweep);
 }
 
 void SessionService::on_session_opened(SessionId session, const DatabaseName& database, TimePoint now) {
@@ -156,6 +158,9 @@
     }
     run(session, std::get<SessionStatement>(next), now);
   }
+  if (has_no_statements(session) && must_close_for_stop(session, now)) {
+    m_answered_during_stop.push_back(session.id);
+  }
 }
 
 void SessionService::run(Session& session, SessionStatement statement, TimePoint now) {
@@ -175,9 +180,23 @@
     answer(session, StatementErrorCode::kUnknownDatabase, "no route for " + session.database.value());
     return;
   }
+  if (!in_transaction && is_too_late_for(session, now)) {
+    refuse_for_stop(session);
+    return;
+  }
   m_executor.execute(session, std::move(statement), now);
 }
 
+bool SessionService::is_too_late_for(const Session& session, TimePoint now) const {
+  return should_close_for_stop(now) &&
+         now + session.route->statement_timeout > *m_stopping_since + m_stop_grace - kStopMargin;
+}
+
+void SessionService::refuse_for_stop(const Session& session) {
+  m_counters.count("statements_refused_for_stop");
+  answer(session, StatementErrorCode::kBusy, "host is stopping");
+}
+
 bool SessionService::answer_in_failed_transaction(Session& session, const SessionStatement& statement) {
   const bool first_report = !session.failure_reported;
   session.failure_reported = true;
@@ -242,6 +261,10 @@
     answer(session, StatementErrorCode::kUnknownDatabase, "no route for " + session.database.value());
     return;
   }
+  if (is_too_late_for(session, now) || should_end_transactions(now)) {
+    refuse_for_stop(session);
+    return;
+  }
   session.state = TransactionState::kOpen;
   session.transaction_read_only = statement.kind == StatementKind::kBeginReadOnly;
   session.transaction_wrote = false;
@@ -306,12 +329,12 @@
 }
 
 bool SessionService::should_close_idle_sessions(TimePoint now) const {
-  const bool stops = m_stopping_since.has_value() && now >= *m_stopping_since + kLoadBalancerNoticeTime;
+  const bool stops = should_close_for_stop(now);
   return stops || (m_isolated_since.has_value() && now >= *m_isolated_since + kLoadBalancerNoticeTime);
 }
 
 void SessionService::close_inactive_sessions(TimePoint now) {
-  const bool ends_transactions = m_stopping_since.has_value() && now >= *m_stopping_since + m_stop_grace / 2;
+  const bool ends_transactions = should_end_transactions(now);
   const bool closes = should_close_idle_sessions(now);
   std::vector<SessionId> closing;
   for (auto& [id, session] : m_sessions) {
@@ -332,6 +355,53 @@
   }
 }
 
+bool SessionService::should_close_for_stop(TimePoint now) const {
+  return m_stopping_since.has_value() && now >= *m_stopping_since + std::min(kLoadBalancerNoticeTime, m_stop_grace / 2);
+}
+
+bool SessionService::should_end_transactions(TimePoint now) const {
+  return m_stopping_since.has_value() && now >= *m_stopping_since + m_stop_grace / 2;
+}
+
+bool SessionService::must_close_for_stop(const Session& session, TimePoint now) const {
+  return session.state == TransactionState::kIdle ? should_close_for_stop(now) : should_end_transactions(now);
+}
+
+void SessionService::advance_stop(TimePoint now) {
+  if (!m_stopping_since.has_value()) {
+    return;
+  }
+  for (const SessionId id : std::exchange(m_answered_during_stop, {})) {
+    const auto session = m_sessions.find(id);
+    if (session != m_sessions.end() && has_no_statements(session->second) &&
+        must_close_for_stop(session->second, now)) {
+      m_counters.count("sessions_closed_after_answer");
+      close(id, now);
+    }
+  }
+  if (now >= *m_stopping_since + m_stop_grace - kStopMargin) {
+    end_all_sessions(now);
+    m_stopped = true;
+  } else if (m_sessions.empty() && m_waiting.empty() && should_close_for_stop(now)) {
+    m_stopped = true;
+  }
+}
+
+void SessionService::end_all_sessions(TimePoint now) {
+  std::vector<SessionId> ids;
+  for (const auto& [id, session] : m_sessions) {
+    ids.push_back(id);
+  }
+  for (const SessionId id : ids) {
+    Session& session = m_sessions.at(id);
+    if (session.execution.has_value()) {
+      m_counters.count("statements_ended_by_stop");
+      m_executor.end_execution(session, "host is stopping", now);
+    }
+    close(id, now);
+  }
+}
+
 void SessionService::close_if_idle(SessionId id, TimePoint now) {
   const auto session = m_sessions.find(id);
   if (session != m_sessions.end() && session->second.state == TransactionState::kIdle &&
--- a/servers/sessions/session_service.h
+++ b/servers/sessions/session_service.h
@@ -23,6 +23,8 @@
   /// Time without statements after which a session outside a transaction is closed on a host that is stopping or
   /// isolated, so that its caller reconnects to another host.
   static constexpr Duration kMinIdleBeforeClose = std::chrono::milliseconds(150);
+  /// A stop is complete this long before the grace period is over, so that the platform does not have to send SIGKILL.
+  static constexpr Duration kStopMargin = std::chrono::milliseconds(300);
 
   SessionService(CallerSessionPort& callers, ExecutorServices services);
 
@@ -36,12 +38,14 @@
   /// primary. Idle sessions are then closed once the load balancer routes new sessions to other hosts.
   void set_isolated(bool isolated, TimePoint now);
 
-  /// Starts a graceful stop: closes sessions as they become idle, and after half of `grace` also sessions with an open
-  /// transaction, which is rolled back.
+  /// Starts a graceful stop. Once the load balancer routes new sessions to other hosts, sessions are closed as soon as
+  /// their last statement is answered, also those that are never idle; after half of `grace` also sessions with an open
+  /// transaction, which is rolled back. A statement that may take longer than the rest of the grace period is refused,
+  /// and what still runs kStopMargin before its end is answered with what is then known of it.
   void begin_stop(Duration grace, TimePoint now);
 
-  /// Returns true if the host is stopping and all sessions are closed.
-  bool is_stopped() const { return m_stopping_since.has_value() && m_sessions.empty(); }
+  /// Returns true if the stop is complete: all sessions are closed, and the load balancer routes no new ones here.
+  bool is_stopped() const { return m_stopped; }
 
   bool has_routes() const { return m_routing.has_value(); }
   ConfigurationVersion version() const { return m_routing.has_value() ? m_routing->version : ConfigurationVersion(); }
@@ -79,6 +83,18 @@
   void close_inactive_sessions(TimePoint now);
   bool should_close_idle_sessions(TimePoint now) const;
   void close_if_idle(SessionId id, TimePoint now);
+  /// Returns true if the host has been stopping for so long that sessions without a transaction are to be closed.
+  bool should_close_for_stop(TimePoint now) const;
+  /// Returns true if the host has been stopping for so long that open transactions are rolled back.
+  bool should_end_transactions(TimePoint now) const;
+  /// Returns true if the session has to be closed for the stop once it has no statements.
+  bool must_close_for_stop(const Session& session, TimePoint now) const;
+  /// Returns true if the host is stopping and may end before a statement that begins now is answered.
+  bool is_too_late_for(const Session& session, TimePoint now) const;
+  void refuse_for_stop(const Session& session);
+  void advance_stop(TimePoint now);
+  /// Answers all statements and closes all sessions.
+  void end_all_sessions(TimePoint now);
   void close(SessionId id, TimePoint now);
 
   CallerSessionPort& m_callers;
@@ -96,6 +112,9 @@
   std::vector<SessionId> m_closing_after_error;
   std::optional<TimePoint> m_stopping_since;
   Duration m_stop_grace{0};
+  bool m_stopped = false;
+  /// Sessions that have been answered during the stop. They are closed on the next tick, like m_closing_after_error.
+  std::vector<SessionId> m_answered_during_stop;
 };
 
 }  // namespace teaselrudder
--- a/servers/sessions/statement_executor.h
+++ b/servers/sessions/statement_executor.h
@@ -107,6 +107,9 @@
   /// Rolls back the session's open transaction if it has begun on a member.
   void roll_back(Session& session, TimePoint now);
 
+  /// Ends the session's execution with the answer that holds for what is known of it now.
+  void end_execution(Session& session, const std::string& cause, TimePoint now);
+
   /// Cancels the session's execution and rolls back its transaction, because the session ends.
   void abandon(Session& session, TimePoint now);
 
--- a/servers/sessions/statement_timers.cc
+++ b/servers/sessions/statement_timers.cc
@@ -113,16 +113,27 @@
     refuse(session, StatementErrorCode::kTimeout, "member did not answer in time", now);
     return;
   }
+  end_execution(session, "member did not answer in time", now);
+}
+
+void StatementExecutor::end_execution(Session& session, const std::string& cause, TimePoint now) {
+  const Execution& execution = *session.execution;
+  const bool in_transaction = session.state == TransactionState::kOpen;
   const bool commits = execution.statement.kind == StatementKind::kCommit;
-  session.pinned.reset();
-  m_connections.close(group, connection.id);
-  if (in_transaction && !commits) {
-    fail_transaction(session, StatementErrorCode::kAborted, "member did not answer in time", now);
-    return;
+  const bool may_have_committed =
+      execution.phase == ExecutionPhase::kRunning && execution.writes && (commits || !in_transaction);
+  if (execution.connection.has_value() && m_connections.find(*execution.connection) != nullptr) {
+    session.pinned.reset();
+    m_connections.close(*find_group(session.route->group), *execution.connection);
+  }
+  if (may_have_committed) {
+    session.state = TransactionState::kIdle;
+    refuse(session, StatementErrorCode::kInDoubt, cause, now);
+  } else if (in_transaction) {
+    fail_transaction(session, StatementErrorCode::kAborted, cause, now);
+  } else {
+    refuse(session, StatementErrorCode::kBusy, cause, now);
   }
-  session.state = TransactionState::kIdle;
-  refuse(session, execution.writes ? StatementErrorCode::kInDoubt : StatementErrorCode::kAborted,
-         "member did not answer in time", now);
 }
 
 void StatementExecutor::set_in_minority(bool in_minority, TimePoint now) {
--- a/tests/model/guarantee_checker.cc
+++ b/tests/model/guarantee_checker.cc
@@ -103,6 +103,7 @@
 }
 
 void GuaranteeChecker::on_run(const RequestId& id, const StatementRun& run) {
+  m_run.insert(id.value());
   const auto found = m_sent.find(id.value());
   if (found == m_sent.end()) {
     m_violations.push_back("UNASKED: member ran a statement that no caller sent: " + id.value());
--- a/tests/model/guarantee_checker.h
+++ b/tests/model/guarantee_checker.h
@@ -45,6 +45,8 @@
   void on_reply(std::size_t session, const SessionStatement& statement, const StatementReply& reply);
   /// Called when a member runs the statement with this id.
   void on_run(const RequestId& id, const StatementRun& run);
+  /// Returns true if a member has run the statement with this id.
+  bool has_run(const RequestId& id) const { return m_run.contains(id.value()); }
   /// Adds a broken guarantee that was found elsewhere.
   void add_violation(std::string line) { m_violations.push_back(std::move(line)); }
 
@@ -82,6 +84,7 @@
   Duration m_max_staleness;
   std::vector<Session> m_sessions;
   std::map<std::string, SentStatement> m_sent;
+  std::set<std::string> m_run;
   std::map<std::pair<std::size_t, TimePoint>, std::pair<std::string, std::uint64_t>> m_transaction_connections;
   std::set<std::string> m_refused_writes;
   std::set<std::string> m_acknowledged_writes;
--- a/tests/model/session_world.cc
+++ b/tests/model/session_world.cc
@@ -285,6 +285,7 @@
 void SessionWorld::disconnect(std::size_t index) {
   Caller& caller = m_callers[index];
   caller.closed = true;
+  caller.gave_up = true;
   if (m_hosts[caller.host]->host != nullptr) {
     m_hosts[caller.host]->host->sessions().on_session_closed(caller.session, m_events.now());
   }
@@ -318,6 +319,7 @@
     if (m_callers[caller].host == index && !m_callers[caller].closed) {
       host.host->sessions().on_session_closed(m_callers[caller].session, m_events.now());
       m_callers[caller].closed = true;
+      m_callers[caller].gave_up = true;
     }
   }
   host.frozen_until = TimePoint::max();
@@ -325,6 +327,24 @@
   m_events.at(m_events.now() + kLingeringConnectionTime, [this, links] { m_members.close_links_of_host(links); });
 }
 
+void SessionWorld::stop_host(std::size_t index) {
+  Host& host = *m_hosts[index];
+  host.host->begin_stop(m_events.now());
+  const std::uint64_t process_number = host.process_number;
+  m_events.at(m_events.now() + SessionHostSettings().stop_grace, [this, index, process_number] {
+    if (m_hosts[index]->process_number != process_number) {
+      return;
+    }
+    for (const Caller& caller : m_callers) {
+      if (caller.host == index && !caller.sent.empty() && !caller.gave_up) {
+        m_checker.add_violation("LOST: host" + std::to_string(index) + " stopped without an answer to " +
+                                caller.sent.front().id.value());
+      }
+    }
+    kill_host(index);
+  });
+}
+
 void SessionWorld::restart_host(std::size_t index) {
   // The previous process object is kept, because pending events refer to it.
   auto previous_process = std::make_shared<std::unique_ptr<Host>>(std::move(m_hosts[index]));
--- a/tests/model/session_world.h
+++ b/tests/model/session_world.h
@@ -45,6 +45,8 @@
     DatabaseName database;
     bool open = false;
     bool closed = false;
+    /// The caller closed the session itself, or the host was killed.
+    bool gave_up = false;
     std::vector<StatementReply> replies;
     std::optional<StatementErrorCode> rejection;
     /// Number of the session in the checker.
@@ -84,6 +86,9 @@
   /// Stops a host without notice, or starts a new process of it without any state.
   void kill_host(std::size_t index);
   void restart_host(std::size_t index);
+  /// Stops a host gracefully; it is killed at the end of its grace period. A statement that it has not answered by then
+  /// is a violation.
+  void stop_host(std::size_t index);
   /// Suspends the timer calls of a host for `time` and drops the reports that arrive meanwhile.
   void freeze_host(std::size_t index, Duration time);
   /// Partitions the network until heal(): these hosts and members reach only one another, and the hosts do not reach
--- a/tests/servers/sessions/session_host_random_test.cc
+++ b/tests/servers/sessions/session_host_random_test.cc
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <iostream>
+#include <map>
 #include <random>
 #include <string>
 
@@ -43,12 +44,19 @@
   kDomains,  // A host with some of the members, half of the time while the primary is being replaced.
 };
 
+/// How host processes end.
+enum class HostEnds {
+  kKilled,
+  kStopped,  // Hosts are also stopped gracefully, under load.
+};
+
 /// Circumstances of a run beside its seed.
 struct RunOptions {
   Outside outside = Outside::kFenced;
   StoreLoss loss = StoreLoss::kNone;
   StatementTexts texts = StatementTexts::kPlain;
   Cuts cuts = Cuts::kNone;
+  HostEnds host_ends = HostEnds::kKilled;
 };
 
 /// One run: callers send random statements while members, hosts and the store fail at random. Where the outside is not
@@ -61,7 +69,8 @@
         m_outside(options.outside),
         m_loss(options.loss),
         m_texts(options.texts),
-        m_cuts(options.cuts) {}
+        m_cuts(options.cuts),
+        m_host_ends(options.host_ends) {}
 
   std::vector<std::string> execute() {
     for (int step = 0; step < kSteps; ++step) {
@@ -188,6 +197,10 @@
       member.refuses_setup = !member.refuses_setup;
       return;
     }
+    if (m_host_ends == HostEnds::kStopped && random_below(4) == 0) {
+      stop_host();
+      return;
+    }
     if (m_cuts == Cuts::kDomains && random_below(4) == 0) {
       change_cut();
       return;
@@ -309,8 +322,21 @@
     return random_below(kHosts);
   }
 
+  void stop_host() {
+    const std::size_t host = random_below(kHosts);
+    if (m_stopped_hosts.size() < 2 && m_stopped_hosts.insert(host).second) {
+      m_world.add_to_trace("fault host " + std::to_string(host) + " is stopped");
+      m_world.stop_host(host);
+      m_stop_ends_at[host] = m_world.events().now() + SessionHostSettings().stop_grace;
+    }
+  }
+
   void kill_or_restart_host() {
     const std::size_t host = random_below(kHosts);
+    const auto stop_ends_at = m_stop_ends_at.find(host);
+    if (stop_ends_at != m_stop_ends_at.end() && m_world.events().now() <= stop_ends_at->second) {
+      return;
+    }
     if (m_stopped_hosts.contains(host)) {
       m_world.restart_host(host);
       m_stopped_hosts.erase(host);
@@ -356,9 +382,12 @@
   StoreLoss m_loss;
   StatementTexts m_texts;
   Cuts m_cuts;
+  HostEnds m_host_ends;
   /// Callers and the numbers of the statements that they have sent to be prepared.
   std::set<std::pair<std::size_t, std::size_t>> m_prepared;
   std::set<std::size_t> m_stopped_hosts;
+  /// When the last graceful stop of each host ends.
+  std::map<std::size_t, TimePoint> m_stop_ends_at;
   int m_crashed_members = 0;
 };
 
@@ -369,6 +398,7 @@
   CPPUNIT_TEST(guarantees_hold_with_restored_stores);
   CPPUNIT_TEST(guarantees_hold_with_restored_stores_and_without_fences);
   CPPUNIT_TEST(guarantees_hold_with_odd_texts_and_refused_setups);
+  CPPUNIT_TEST(guarantees_hold_with_planned_stops);
   CPPUNIT_TEST(guarantees_hold_with_domains_cut_off_during_replacements);
   CPPUNIT_TEST(guarantees_hold_with_domains_cut_off_and_without_fences);
   CPPUNIT_TEST(commits_of_a_lost_replica_survive_a_change_of_the_duty_holder);
@@ -418,6 +448,13 @@
     }
   }
 
+  // Guards against statements that a stopping host leaves without an answer, whatever its members do meanwhile.
+  void guarantees_hold_with_planned_stops() {
+    for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+      expect_no_violations(seed, {.host_ends = HostEnds::kStopped});
+    }
+  }
+
   // Guards against authority that is given out on what is known on one side of a cut, while the other side goes on with
   // a newer primary.
   void guarantees_hold_with_domains_cut_off_during_replacements() {
--- a/tests/soak/host_process.cc
+++ b/tests/soak/host_process.cc
@@ -94,12 +94,16 @@
   }
   m_started_at = std::chrono::steady_clock::now();
   m_stop_requested = false;
+  m_terminated = false;
+  m_killed_or_paused = false;
   m_stopped_during_start = false;
 }
 
 void HostProcess::signal(int number) const {
   if (m_pid > 0) {
     m_stop_requested = m_stop_requested || number == SIGKILL || number == SIGTERM;
+    m_terminated = m_terminated || number == SIGTERM;
+    m_killed_or_paused = m_killed_or_paused || number == SIGKILL || number == SIGSTOP;
     m_stopped_during_start =
         m_stopped_during_start ||
         (number == SIGTERM && std::chrono::steady_clock::now() < m_started_at + kSignalHandlerSetupTime);
--- a/tests/soak/host_process.h
+++ b/tests/soak/host_process.h
@@ -30,6 +30,9 @@
   const std::string& domain() const { return m_domain; }
   const Ports& ports() const { return m_ports; }
   bool is_running() const { return m_pid > 0; }
+  /// Returns true if the last process that was started got SIGTERM and nothing else that could keep it from a graceful
+  /// stop.
+  bool stops_gracefully() const { return m_terminated && !m_killed_or_paused && !m_stopped_during_start; }
 
   /// Writes the settings file. `fenced` says whether the platform rejects outdated promotion tokens.
   void write_settings(bool fenced) const;
@@ -50,6 +53,8 @@
   pid_t m_pid = -1;
   std::chrono::steady_clock::time_point m_started_at;
   mutable bool m_stop_requested = false;
+  mutable bool m_terminated = false;
+  mutable bool m_killed_or_paused = false;
   /// SIGTERM was sent before the process may have installed its signal handlers, so that it may end by the signal.
   mutable bool m_stopped_during_start = false;
 };
--- a/tests/soak/soak_caller.cc
+++ b/tests/soak/soak_caller.cc
@@ -74,7 +74,16 @@
 
 void SoakCaller::on_close() {
   m_shared.totals.interrupted += m_reply_pending ? 1 : 0;
-  m_on_end(m_served);
+  End end{m_served, std::nullopt};
+  if (m_ended_by_host && m_session_open && m_reply_pending) {
+    end.unanswered = m_statement.id;
+  }
+  m_on_end(end);
+}
+
+void SoakCaller::on_end() {
+  m_ended_by_host = true;
+  close();
 }
 
 void SoakCaller::on_data(std::string_view data) {
--- a/tests/soak/soak_caller.h
+++ b/tests/soak/soak_caller.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -39,8 +40,15 @@
     bool odd_texts = false;
   };
 
-  /// Called when the session has ended, with the number of statements it was served.
-  using EndHandler = std::function<void(std::uint64_t served)>;
+  /// How a session ended.
+  struct End {
+    /// Number of statements that were served.
+    std::uint64_t served = 0;
+    /// The statement without an answer, if the other side ended the session.
+    std::optional<RequestId> unanswered;
+  };
+
+  using EndHandler = std::function<void(const End& end)>;
 
   /// `on_end` is called once, and already in the constructor if connecting fails there.
   SoakCaller(uv_loop_t* loop, Shared& shared, std::uint64_t seed, std::uint16_t port, EndHandler on_end);
@@ -51,6 +59,7 @@
  protected:
   void on_connected() override;
   void on_data(std::string_view data) override;
+  void on_end() override;
   void on_timer() override;
   void on_close() override;
 
@@ -75,6 +84,7 @@
   platform::MemberReplyReader m_reader;
   bool m_session_open = false;
   bool m_reply_pending = false;
+  bool m_ended_by_host = false;
   SessionStatement m_statement;
   std::vector<SessionStatement> m_prepared;
   std::uint64_t m_served = 0;
--- a/tests/soak/soak_run.cc
+++ b/tests/soak/soak_run.cc
@@ -125,9 +125,13 @@
     ++slot.opened_sessions;
     const std::uint64_t seed = m_settings.seed * 1000003 + index * 1009 + slot.opened_sessions;
     const std::uint16_t port = m_hosts[slot.host]->ports().callers;
-    slot.caller = new SoakCaller(&m_loop, m_shared, seed, port, [this, index](std::uint64_t served) {
+    slot.caller = new SoakCaller(&m_loop, m_shared, seed, port, [this, index](const SoakCaller::End& end) {
       CallerSlot& ended = m_callers[index];
-      m_served_by_host[ended.host] += served;
+      const HostProcess& host = *m_hosts[ended.host];
+      if (end.unanswered.has_value() && m_checker.has_run(*end.unanswered) && host.stops_gracefully()) {
+        m_checker.add_violation("LOST: " + host.name() + " stopped without an answer to " + end.unanswered->value());
+      }
+      m_served_by_host[ended.host] += end.served;
       ended.caller = nullptr;
       ended.next_session = m_events.now() + kSessionPause;
     });
