Wait for a promotion that a former duty holder ordered

Cause: the new holder stopped all replicas and ordered its own promotion while one that the platform had accepted from the former holder had not taken effect. That one ended the stops, and the member that it promoted, which hosts knew as the primary of an earlier term, acknowledged a commit before the second promotion took effect.

Ruled out by the trace: a late order with an outdated token, and a replica that was not stopped.

Tests, before: seed 90 failed; after: promotion_of_a_former_duty_holder_takes_effect_before_the_next_one (that seed) and all 268 decision tests pass.

--- a/servers/failover/failover_duty.cc
+++ b/servers/failover/failover_duty.cc
@@ -90,7 +90,8 @@
     // The replacement gets its input before it can begin, because the first answers may arrive right after.
     monitor.replacement->on_tick(group,
                                  {*token, members_current, monitor.leases.all_ended_at(),
-                                  *m_duty_began + PrimaryReplacement::kUnansweredPromotionTime},
+                                  *m_duty_began + PrimaryReplacement::kUnansweredPromotionTime,
+                                  *m_duty_began + PrimaryReplacement::kVerifyTimeout},
                                  now);
     if (!monitor.replacement->is_running()) {
       check_primary(group, monitor, board, fleet_size, now);
--- a/servers/failover/primary_replacement.cc
+++ b/servers/failover/primary_replacement.cc
@@ -179,6 +179,18 @@
   return true;
 }
 
+bool PrimaryReplacement::waits_for_former_promotion(TimePoint now) {
+  const bool is_stopped = std::any_of(m_reports.begin(), m_reports.end(), [this](const auto& report) {
+    return is_stopped_by_former_holder(report.second);
+  });
+  if (!is_stopped || now >= m_input.former_promotions_effective_at) {
+    return false;
+  }
+  m_state_entered_at = now;
+  m_reports.clear();
+  return true;
+}
+
 void PrimaryReplacement::advance_survey(const UpstreamGroup& group, TimePoint now) {
   // If the unanswered promotion order were carried out now, the replicas would receive again, and the positions they
   // reported would be outdated. With a higher token the platform rejects the old order.
@@ -200,6 +212,9 @@
   if (!complete && now < m_state_entered_at + kSurveyTimeout) {
     return;
   }
+  if (waits_for_former_promotion(now)) {
+    return;
+  }
   if (const auto report = m_old_primary.has_value() ? m_reports.find(*m_old_primary) : m_reports.end();
       report != m_reports.end() && !report->second.is_primary) {
     // It is no longer the primary, so it is treated as a replica. It may be the one with the complete log.
@@ -477,8 +492,7 @@
   const bool former_orders_ended = m_former_orders_fenced || now >= m_input.former_orders_end_at;
   bool awaits_former_orders = false;
   for (const auto& [member, report] : m_reports) {
-    const bool by_former_holder = report.stopped_below > Term(0) && !m_own_terms.contains(report.stopped_below);
-    if (by_former_holder && !former_orders_ended) {
+    if (is_stopped_by_former_holder(report) && !former_orders_ended) {
       awaits_former_orders = true;
       continue;
     }
--- a/tests/servers/sessions/session_host_random_test.cc
+++ b/tests/servers/sessions/session_host_random_test.cc
@@ -402,6 +402,7 @@
   CPPUNIT_TEST(guarantees_hold_with_domains_cut_off_during_replacements);
   CPPUNIT_TEST(guarantees_hold_with_domains_cut_off_and_without_fences);
   CPPUNIT_TEST(commits_of_a_lost_replica_survive_a_change_of_the_duty_holder);
+  CPPUNIT_TEST(promotion_of_a_former_duty_holder_takes_effect_before_the_next_one);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -474,6 +475,12 @@
   // the failover duty meanwhile.
   void commits_of_a_lost_replica_survive_a_change_of_the_duty_holder() { expect_no_violations(234, {}); }
 
+  // Guards against the loss of commits that a member acknowledges between two promotions: that of a former holder of
+  // the duty had been accepted and took effect when the next holder had stopped all replicas and ordered its own.
+  void promotion_of_a_former_duty_holder_takes_effect_before_the_next_one() {
+    expect_no_violations(90, {.cuts = Cuts::kDomains});
+  }
+
  private:
   /// Executes the run with the given seed and returns the number of promotions.
   static std::uint64_t expect_no_violations(std::uint64_t seed, RunOptions options) {
