Keep the confirmation of a leader when a former one reports

A replaced primary that goes on reports that it leads, in its former term. That took the place of the confirmation of the present leader until the next probe, and no lease was granted for up to 150 ms. A confirmation of a lower term is now ignored.

--- a/servers/failover/primary_lease_grants.cc
+++ b/servers/failover/primary_lease_grants.cc
@@ -7,7 +7,8 @@
 
 void PrimaryLeaseGrants::on_leader_confirmed(const GroupLeader& leader, TimePoint sent_at) {
   const auto denied_at = m_denied_at.find(leader.member);
-  const bool is_outdated = denied_at != m_denied_at.end() && sent_at <= denied_at->second;
+  const bool is_outdated = (denied_at != m_denied_at.end() && sent_at <= denied_at->second) ||
+                           (m_confirmed.has_value() && leader.term < m_confirmed->term);
   if (sent_at >= m_duty_began && !is_outdated) {
     m_confirmed = leader;
   }
--- a/servers/failover/primary_lease_grants.h
+++ b/servers/failover/primary_lease_grants.h
@@ -37,7 +37,8 @@
 
   explicit PrimaryLeaseGrants(TimePoint duty_began) : m_duty_began(duty_began) {}
 
-  /// Notes that `leader` answered, to a request sent at `sent_at`, as the primary of its term.
+  /// Notes that `leader` answered, to a request sent at `sent_at`, as the primary of its term. It is ignored if the
+  /// leader of a later term is confirmed, since a replaced primary may go on.
   void on_leader_confirmed(const GroupLeader& leader, TimePoint sent_at);
 
   /// Notes that `member` reported, to a request sent at `sent_at`, that it does not lead.
