Do not judge a soak run while its primary is being replaced

Cause: the run ended when every host had served a statement, 1 ms after the holder of the duty had told the primary to step down for a planned replacement (logs of the run: stepping_down at 09.228, the last entry of the store at 09.230). No member led at that moment, and the check looks acknowledged writes up in the log of the primary, so it took all of them for lost. No promotion took place, and no log was cut.

Change: a run ends only when the group has a primary again; a group without one at the end of the time limit is a violation of its own, which was not checked before. Nothing else of the check changes.

Ruled out: a loss. With no promotion the former primary's log is whole.

--- a/tests/soak/soak_run.cc
+++ b/tests/soak/soak_run.cc
@@ -157,6 +157,7 @@
 
 void SoakRun::advance() {
   const bool timed_out = m_events.now() >= m_stage_since + kRecoveryTimeout;
+  const bool has_primary = m_members.primary() < m_members.size();
   switch (m_stage) {
     case Stage::kStarting:
       if (all_hosts_serve() || timed_out) {
@@ -175,9 +176,11 @@
       return;
     case Stage::kRecovering:
       if (timed_out) {
-        m_checker.add_violation("RECOVER: a host served no statement after the faults");
+        m_checker.add_violation(has_primary ? "RECOVER: a host served no statement after the faults"
+                                            : "RECOVER: the group has no primary after the faults");
       }
-      if (timed_out || all_hosts_serve()) {
+      // Acknowledged writes are looked up in the log of the primary, so a run does not end while it is being replaced.
+      if (timed_out || (all_hosts_serve() && has_primary)) {
         m_stage = Stage::kDone;
         uv_stop(&m_loop);
       }
