--- a/tests/servers/sessions/session_host_random_test.cc
+++ b/tests/servers/sessions/session_host_random_test.cc
@@ -174,12 +174,12 @@
 
   /// Prepares one of a few statements, or executes one that the caller has prepared.
   void send_prepared_statement(std::size_t index) {
-    static const std::array<std::string, 5> kShapes = {"q", "q by_room", "q by_room by_day", "q ", " "};
+    static constexpr std::array<std::string_view, 5> kShapes = {"q", "q by_room", "q by_room by_day", "q ", " "};
     const std::size_t number = random_below(kShapes.size());
     const std::string name = "odd" + std::to_string(number);
     const StatementAccess access = number % 2 == 0 ? StatementAccess::kRead : StatementAccess::kWrite;
     if (m_prepared.insert({index, number}).second) {
-      m_world.send(index, StatementKind::kPrepare, name, kShapes[number], access);
+      m_world.send(index, StatementKind::kPrepare, name, std::string(kShapes[number]), access);
     } else {
       m_world.send(index, StatementKind::kExecute, name, "by_room x", access);
     }
--- a/tests/servers/sessions/session_host_test.cc
+++ b/tests/servers/sessions/session_host_test.cc
@@ -763,7 +763,8 @@
   }
 
  private:
-  static constexpr Duration kGrace = SessionHostSettings().stop_grace;
+  // The default of SessionHostSettings::stop_grace.
+  static constexpr Duration kGrace = std::chrono::seconds(6);
 
   /// Lets each of `callers` whose session is open and that waits for no answer send a statement.
   static void send_if_open(SessionWorld& world, const std::vector<std::size_t>& callers, StatementKind kind) {
