--- a/tests/servers/sessions/session_host_test.cc
+++ b/tests/servers/sessions/session_host_test.cc
@@ -643,6 +643,7 @@
   void stop_closes_sessions_that_are_never_idle_between_two_statements() {
     SessionWorld world(2);
     std::vector<std::size_t> callers;
+    callers.reserve(16);
     for (int index = 0; index < 16; ++index) {
       callers.push_back(world.open_session(0, SessionWorld::kPrimaryReads));
     }
