--- a/tests/model/guarantee_checker.cc
+++ b/tests/model/guarantee_checker.cc
@@ -148,9 +148,7 @@
   if (run.applied < needed) {
     m_violations.push_back("STALE: " + id + " at " + run.member + " with " + to_text(run.applied) + " instead of " +
                            to_text(needed) + (run.in_transaction ? " in a transaction" : "") + ", begun " +
-                           std::to_string(to_milliseconds(run.at - sent.started_at)) + " ms before it ran at " +
-                           std::to_string(to_milliseconds(run.at.time_since_epoch()) - 3600000) + " ms, freshness " +
-                           std::to_string(static_cast<int>(sent.freshness)));
+                           std::to_string(to_milliseconds(run.at - sent.started_at)) + " ms before");
   }
   if (sent.freshness == ReadFreshness::kOwnWrites && run.applied < sent.own_commit) {
     m_violations.push_back("STALE: the session's own commit was not visible to " + id);
--- a/tests/model/session_world.cc
+++ b/tests/model/session_world.cc
@@ -120,6 +120,18 @@
 
 SessionHost& SessionWorld::host(std::size_t index) { return *m_hosts[index]->host; }
 
+bool SessionWorld::holds_failover_duty(std::size_t index) {
+  return host(index).metrics(m_events.now()).find("holds_failover_duty 1") != std::string::npos;
+}
+
+std::size_t SessionWorld::duty_holder() {
+  std::size_t index = 0;
+  while (index < m_hosts.size() && !holds_failover_duty(index)) {
+    ++index;
+  }
+  return index;
+}
+
 Counters& SessionWorld::counters(std::size_t index) { return m_hosts[index]->counters; }
 
 std::string SessionWorld::log_time() const {
--- a/tests/model/session_world.h
+++ b/tests/model/session_world.h
@@ -78,6 +78,9 @@
   Caller& caller(std::size_t index) { return m_callers[index]; }
   std::size_t callers() const { return m_callers.size(); }
   SessionHost& host(std::size_t index);
+  bool holds_failover_duty(std::size_t host);
+  /// Returns the host that holds the failover duty; the number of hosts if none does.
+  std::size_t duty_holder();
   Counters& counters(std::size_t index);
   ReplicatedMembers& members() { return m_members; }
   CoordinationModel& store() { return m_store; }
--- a/tests/servers/session_host/restored_store_test.cc
+++ b/tests/servers/session_host/restored_store_test.cc
@@ -18,27 +18,14 @@
 constexpr std::size_t kHosts = 3;
 const std::string kDutyKey = "duties/failover";
 
-bool holds_duty(SessionWorld& world, std::size_t host) {
-  return world.host(host).metrics(world.events().now()).find("holds_failover_duty 1") != std::string::npos;
-}
-
 std::size_t count_holders(SessionWorld& world) {
   std::size_t holders = 0;
   for (std::size_t host = 0; host < kHosts; ++host) {
-    holders += holds_duty(world, host) ? 1 : 0;
+    holders += world.holds_failover_duty(host) ? 1 : 0;
   }
   return holders;
 }
 
-/// Returns the host that holds the duty; kHosts if none does.
-std::size_t duty_holder(SessionWorld& world) {
-  std::size_t host = 0;
-  while (host < kHosts && !holds_duty(world, host)) {
-    ++host;
-  }
-  return host;
-}
-
 std::string configuration_line(std::uint64_t version) {
   return "configuration_version " + std::to_string(version) + "\n";
 }
@@ -49,7 +36,7 @@
 
 /// Restarts the holder of the duty and waits until another process holds it.
 void move_duty(SessionWorld& world) {
-  const std::size_t holder = duty_holder(world);
+  const std::size_t holder = world.duty_holder();
   const std::string record = world.store().value(kDutyKey);
   world.kill_host(holder);
   world.restart_host(holder);
@@ -176,7 +163,7 @@
     SessionWorld world(kHosts);
     world.store().keep_copy();
     move_duty(world);
-    const std::size_t holder = duty_holder(world);
+    const std::size_t holder = world.duty_holder();
     world.store().unreachable_hosts = {holder};
     lose_duty_record(world);
     expect_at_most_one_holder(world);
@@ -187,7 +174,7 @@
     SessionWorld world(kHosts);
     world.store().keep_copy();
     move_duty(world);
-    const std::size_t holder = duty_holder(world);
+    const std::size_t holder = world.duty_holder();
     world.store().unreachable_hosts = {holder};
     for (std::size_t host = 0; host < kHosts; ++host) {
       if (host != holder) {
@@ -208,7 +195,7 @@
     SessionWorld world(kHosts);
     world.store().keep_copy();
     move_duty(world);
-    const std::size_t holder = duty_holder(world);
+    const std::size_t holder = world.duty_holder();
     const auto callers = world.open_sessions(SessionWorld::kPrimaryReads);
     world.run_for(2 * kSecond);
     world.store().restore_copy();
@@ -220,7 +207,7 @@
       }
       world.run_for(std::chrono::milliseconds(30));
     }
-    CPPUNIT_ASSERT(holds_duty(world, holder));
+    CPPUNIT_ASSERT(world.holds_failover_duty(holder));
     expect_no_violations(world);
   }
 
@@ -228,10 +215,10 @@
   void duty_has_one_holder_after_an_outage_that_outlasted_its_lease() {
     for (int offset = 0; offset < 10; ++offset) {
       SessionWorld world(kHosts);
-      const std::size_t holder = duty_holder(world);
+      const std::size_t holder = world.duty_holder();
       world.store().down = true;
       world.run_for(5 * kSecond + offset * std::chrono::milliseconds(130));
-      CPPUNIT_ASSERT(holds_duty(world, holder));
+      CPPUNIT_ASSERT(world.holds_failover_duty(holder));
       world.store().down = false;
       expect_at_most_one_holder(world);
       CPPUNIT_ASSERT_EQUAL(std::size_t(1), count_holders(world));
@@ -242,7 +229,7 @@
   // another.
   void lost_record_of_a_host_is_written_again_although_its_lease_was_given_out_again() {
     SessionWorld world(kHosts);
-    const std::size_t host = duty_holder(world) == 0 ? 1 : 0;
+    const std::size_t host = world.duty_holder() == 0 ? 1 : 0;
     world.kill_host(host);
     world.run_for(10 * kSecond);
     world.store().keep_copy();
--- a/tests/servers/sessions/session_host_partition_test.cc
+++ b/tests/servers/sessions/session_host_partition_test.cc
@@ -35,19 +35,7 @@
   CPPUNIT_TEST_SUITE_END();
 
  public:
-  static bool holds_duty(SessionWorld& world, std::size_t host) {
-    return world.host(host).metrics(world.events().now()).find("holds_failover_duty 1") != std::string::npos;
-  }
-
-  static std::size_t duty_holder(SessionWorld& world) {
-    std::size_t host = 0;
-    while (!holds_duty(world, host)) {
-      ++host;
-    }
-    return host;
-  }
-
-  static std::size_t host_without_duty(SessionWorld& world) { return holds_duty(world, 0) ? 1 : 0; }
+  static std::size_t host_without_duty(SessionWorld& world) { return world.holds_failover_duty(0) ? 1 : 0; }
 
   /// Sends writes and reads in turn for `rounds` rounds at each of `callers`.
   static void run_statements(SessionWorld& world, const std::vector<std::size_t>& callers, int rounds) {
@@ -185,7 +173,7 @@
         SessionWorld world(3, 1, {.fenced = fenced});
         const std::vector<std::size_t> callers = world.open_sessions(SessionWorld::kPrimaryReads);
         run_statements(world, callers, 5);
-        const std::size_t holder = duty_holder(world);
+        const std::size_t holder = world.duty_holder();
         const std::size_t former = world.members().primary();
         world.members().member(former).entry.leaving = true;
         world.publish_members();
@@ -289,7 +277,7 @@
     std::vector<std::size_t> callers;
     std::size_t duty_holder = 0;
     for (std::size_t host = 0; host < 5; ++host) {
-      if (holds_duty(world, host)) {
+      if (world.holds_failover_duty(host)) {
         duty_holder = host;
       } else {
         callers.push_back(world.open_session(host, SessionWorld::kPrimaryReads));
--- a/tests/servers/sessions/session_host_random_test.cc
+++ b/tests/servers/sessions/session_host_random_test.cc
@@ -64,13 +64,7 @@
 class RandomRun {
  public:
   RandomRun(std::uint64_t seed, RunOptions options)
-      : m_random(seed),
-        m_world(kHosts, seed, {.fenced = options.outside == Outside::kFenced}),
-        m_outside(options.outside),
-        m_loss(options.loss),
-        m_texts(options.texts),
-        m_cuts(options.cuts),
-        m_host_ends(options.host_ends) {}
+      : m_random(seed), m_world(kHosts, seed, {.fenced = options.outside == Outside::kFenced}), m_options(options) {}
 
   std::vector<std::string> execute() {
     for (int step = 0; step < kSteps; ++step) {
@@ -84,7 +78,7 @@
       m_world.run_for(std::chrono::milliseconds(random_below(30)));
     }
     end_faults();
-    m_world.run_for(m_outside == Outside::kFenced ? kRecoveryTime : kRecoveryTimeWithoutFences);
+    m_world.run_for(m_options.outside == Outside::kFenced ? kRecoveryTime : kRecoveryTimeWithoutFences);
     std::vector<std::string> violations = m_world.violations();
     const std::size_t last = m_world.open_session(first_running_host(), SessionWorld::kPrimaryReads);
     if (m_world.send_and_wait(last, StatementKind::kWrite).error.has_value()) {
@@ -130,7 +124,7 @@
     if (!caller.open || caller.closed || !caller.sent.empty()) {
       return;
     }
-    if (m_texts == StatementTexts::kOdd && random_below(4) == 0) {
+    if (m_options.texts == StatementTexts::kOdd && random_below(4) == 0) {
       send_prepared_statement(index);
       return;
     }
@@ -189,23 +183,23 @@
     auto& members = m_world.members();
     const std::size_t index = random_below(members.size());
     auto& member = members.member(index);
-    if (m_outside == Outside::kUnfenced && random_below(5) == 0) {
+    if (m_options.outside == Outside::kUnfenced && random_below(5) == 0) {
       change_partition(index);
       return;
     }
-    if (m_texts == StatementTexts::kOdd && random_below(4) == 0) {
+    if (m_options.texts == StatementTexts::kOdd && random_below(4) == 0) {
       member.refuses_setup = !member.refuses_setup;
       return;
     }
-    if (m_host_ends == HostEnds::kStopped && random_below(4) == 0) {
+    if (m_options.host_ends == HostEnds::kStopped && random_below(4) == 0) {
       stop_host();
       return;
     }
-    if (m_cuts == Cuts::kDomains && random_below(4) == 0) {
+    if (m_options.cuts == Cuts::kDomains && random_below(4) == 0) {
       change_cut();
       return;
     }
-    const std::size_t kind = random_below(m_loss == StoreLoss::kRestored ? 15 : 11);
+    const std::size_t kind = random_below(m_options.loss == StoreLoss::kRestored ? 15 : 11);
     m_world.add_to_trace("fault " + std::to_string(kind) + " member " + std::to_string(index));
     switch (kind) {
       case 0:
@@ -313,9 +307,7 @@
   /// Returns the running host that holds the failover duty, or any host if none does.
   std::size_t duty_holder() {
     for (std::size_t host = 0; host < kHosts; ++host) {
-      const bool is_running = !m_stopped_hosts.contains(host);
-      if (is_running &&
-          m_world.host(host).metrics(m_world.events().now()).find("holds_failover_duty 1") != std::string::npos) {
+      if (!m_stopped_hosts.contains(host) && m_world.holds_failover_duty(host)) {
         return host;
       }
     }
@@ -378,11 +370,7 @@
 
   std::mt19937_64 m_random;
   SessionWorld m_world;
-  Outside m_outside;
-  StoreLoss m_loss;
-  StatementTexts m_texts;
-  Cuts m_cuts;
-  HostEnds m_host_ends;
+  RunOptions m_options;
   /// Callers and the numbers of the statements that they have sent to be prepared.
   std::set<std::pair<std::size_t, std::size_t>> m_prepared;
   std::set<std::size_t> m_stopped_hosts;
--- a/tests/soak/host_process.cc
+++ b/tests/soak/host_process.cc
@@ -93,17 +93,13 @@
     throw std::runtime_error("cannot start the host process " + m_program);
   }
   m_started_at = std::chrono::steady_clock::now();
-  m_stop_requested = false;
-  m_terminated = false;
-  m_killed_or_paused = false;
+  m_signals.clear();
   m_stopped_during_start = false;
 }
 
 void HostProcess::signal(int number) const {
   if (m_pid > 0) {
-    m_stop_requested = m_stop_requested || number == SIGKILL || number == SIGTERM;
-    m_terminated = m_terminated || number == SIGTERM;
-    m_killed_or_paused = m_killed_or_paused || number == SIGKILL || number == SIGSTOP;
+    m_signals.insert(number);
     m_stopped_during_start =
         m_stopped_during_start ||
         (number == SIGTERM && std::chrono::steady_clock::now() < m_started_at + kSignalHandlerSetupTime);
@@ -120,7 +116,8 @@
   const bool clean = WIFSIGNALED(status)
                          ? WTERMSIG(status) == SIGKILL || (WTERMSIG(status) == SIGTERM && m_stopped_during_start)
                          : WEXITSTATUS(status) == 0;
-  return !m_stop_requested || !clean;
+  const bool stop_requested = has_got(SIGTERM) || has_got(SIGKILL);
+  return !stop_requested || !clean;
 }
 
 }  // namespace teaselrudder::soak
--- a/tests/soak/host_process.h
+++ b/tests/soak/host_process.h
@@ -3,7 +3,9 @@
 #include <sys/types.h>
 
 #include <chrono>
+#include <csignal>
 #include <cstdint>
+#include <set>
 #include <string>
 
 namespace teaselrudder::soak {
@@ -32,7 +34,9 @@
   bool is_running() const { return m_pid > 0; }
   /// Returns true if the last process that was started got SIGTERM and nothing else that could keep it from a graceful
   /// stop.
-  bool stops_gracefully() const { return m_terminated && !m_killed_or_paused && !m_stopped_during_start; }
+  bool stops_gracefully() const {
+    return has_got(SIGTERM) && !has_got(SIGKILL) && !has_got(SIGSTOP) && !m_stopped_during_start;
+  }
 
   /// Writes the settings file. `fenced` says whether the platform rejects outdated promotion tokens.
   void write_settings(bool fenced) const;
@@ -45,6 +49,8 @@
   bool reap();
 
  private:
+  bool has_got(int number) const { return m_signals.contains(number); }
+
   std::string m_program;
   std::string m_folder;
   std::string m_name;
@@ -52,9 +58,8 @@
   Ports m_ports;
   pid_t m_pid = -1;
   std::chrono::steady_clock::time_point m_started_at;
-  mutable bool m_stop_requested = false;
-  mutable bool m_terminated = false;
-  mutable bool m_killed_or_paused = false;
+  /// Signals sent to the process since it was started.
+  mutable std::set<int> m_signals;
   /// SIGTERM was sent before the process may have installed its signal handlers, so that it may end by the signal.
   mutable bool m_stopped_during_start = false;
 };
