Refuse statements between the end of a stop and that of the process

Found by reading the change again: a stopped process leaves its last answers 150 ms to be sent, and in that time it still began statements of sessions that had just been opened, which the end of the process would have cut off. They are refused as not run.

Test, before: statement_that_arrives_after_the_stop_is_refused failed (the statement was served, the session open); after: it and the seven others of SessionHostStopTest pass.

--- a/servers/sessions/session_service.cc
+++ b/servers/sessions/session_service.cc
@@ -188,8 +188,8 @@
 }
 
 bool SessionService::is_too_late_for(const Session& session, TimePoint now) const {
-  return should_close_for_stop(now) &&
-         now + session.route->statement_timeout > *m_stopping_since + m_stop_grace - kStopMargin;
+  return m_stopped || (should_close_for_stop(now) &&
+                       now + session.route->statement_timeout > *m_stopping_since + m_stop_grace - kStopMargin);
 }
 
 void SessionService::refuse_for_stop(const Session& session) {
--- a/tests/servers/sessions/session_host_stop_test.cc
+++ b/tests/servers/sessions/session_host_stop_test.cc
@@ -22,6 +22,7 @@
   CPPUNIT_TEST(stop_answers_what_still_runs_at_its_end);
   CPPUNIT_TEST(stop_refuses_statements_that_may_outlast_it);
   CPPUNIT_TEST(stopping_host_serves_new_sessions_until_the_load_balancer_knows);
+  CPPUNIT_TEST(statement_that_arrives_after_the_stop_is_refused);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -169,6 +170,20 @@
     expect_no_violations(world);
   }
 
+  // Guards against a statement that is begun in the moment between the end of the stop and that of the process, which
+  // would cut it off.
+  void statement_that_arrives_after_the_stop_is_refused() {
+    SessionWorld world(2);
+    world.host(0).begin_stop(world.events().now());
+    world.run_until([&world] { return world.host(0).is_stopped(); }, kGrace);
+    const std::size_t caller = world.open_session(0, SessionWorld::kPrimaryReads);
+    world.send(caller, StatementKind::kWrite);
+    world.run_for(std::chrono::milliseconds(10));
+    expect_all_answered(world, {caller});
+    CPPUNIT_ASSERT(world.caller(caller).replies.front().error == StatementErrorCode::kBusy);
+    expect_no_violations(world);
+  }
+
  private:
   // The default of SessionHostSettings::stop_grace.
   static constexpr Duration kGrace = std::chrono::seconds(6);
