Simplify what the fixes of the review left behind

No behaviour changes, but for the phase in which a session is noted for closing. Read again as a whole, the change had: - two lists of sessions to close on the next tick; one serves both. - two times in ReplacementInput that follow from the begin of the duty; it carries that instead. The lines that restart a survey stood twice. - "primary and term, if announced" built by hand in five places; UpstreamGroup::announced_leader() returns it. - is_leader_recorded(), which also starts to record: it is ensure_leader_recorded() now. - a copy of the session's variables for each statement, also where none differ.

--- a/servers/failover/failover_duty.cc
+++ b/servers/failover/failover_duty.cc
@@ -88,11 +88,7 @@
     announce_leader(group, monitor, now);
     update_leader(group, monitor, now);
     // The replacement gets its input before it can begin, because the first answers may arrive right after.
-    monitor.replacement->on_tick(group,
-                                 {*token, members_current, monitor.leases.all_ended_at(),
-                                  *m_duty_began + PrimaryReplacement::kUnansweredPromotionTime,
-                                  *m_duty_began + PrimaryReplacement::kVerifyTimeout},
-                                 now);
+    monitor.replacement->on_tick(group, {*token, members_current, monitor.leases.all_ended_at(), *m_duty_began}, now);
     if (!monitor.replacement->is_running()) {
       check_primary(group, monitor, board, fleet_size, now);
     }
@@ -141,7 +137,7 @@
   // Where a replaced primary may go on, only the record tells a later holder of the duty that it was replaced.
   // Elsewhere the former primary itself does.
   if (!m_services.tokens_are_checked && monitor.leases.is_announcement_due(now) &&
-      !m_services.listener.is_leader_recorded(group.id(), *monitor.leases.unannounced(), now)) {
+      !m_services.listener.ensure_leader_recorded(group.id(), *monitor.leases.unannounced(), now)) {
     return;
   }
   if (const auto leader = monitor.leases.take_leader(group.term(), now); leader.has_value()) {
@@ -177,19 +173,16 @@
   // The survey of a replacement does not disturb a primary that answers, and may find that it keeps its role.
   const bool is_disturbed =
       monitor.replacement->is_running() && monitor.replacement->state() != ReplacementState::kSurveying;
-  if (group.term() == Term(0) || !group.primary().has_value() || is_disturbed ||
-      is_suspected(group, monitor, board, now)) {
+  const std::optional<GroupLeader> announced = group.announced_leader();
+  if (!announced.has_value() || is_disturbed || is_suspected(group, monitor, board, now)) {
     return;
   }
-  confirm_by_position(group, monitor);
-  monitor.leases.grant({*group.primary(), group.term()}, now);
-}
-
-void FailoverDuty::confirm_by_position(const UpstreamGroup& group, GroupMonitor& monitor) {
+  // A position that it returned as the primary of its term proves that it led then.
   const std::optional<PositionSample> newest = group.evidence().newest();
-  if (newest.has_value() && newest->position.term == group.term()) {
-    monitor.leases.on_leader_confirmed({*group.primary(), group.term()}, newest->requested_at);
+  if (newest.has_value() && newest->position.term == announced->term) {
+    monitor.leases.on_leader_confirmed(*announced, newest->requested_at);
   }
+  monitor.leases.grant(*announced, now);
 }
 
 void FailoverDuty::note_role(GroupMonitor& monitor, const ControlOutcome& outcome) {
@@ -289,10 +282,11 @@
   const bool asks_all = primary == nullptr || (in_doubt && monitor.replicas_checked_at + kDoubtInterval <= now);
   const Duration interval = monitor.failures > 0 ? kTickInterval : kProbeAfter;
   // Nothing is served under a lease, or at all if the term is not known, before the primary has shown that it leads.
-  const bool unconfirmed = !monitor.leases.unannounced().has_value() &&
-                           (primary == nullptr || !monitor.leases.is_confirmed(*monitor.leader));
-  const bool confirms = unconfirmed && monitor.probed_at + kDoubtInterval <= now;
-  if (primary != nullptr && (asks_all || confirms || (!answered_recently && monitor.probed_at + interval <= now))) {
+  const bool unconfirmed =
+      primary != nullptr && !monitor.leases.unannounced().has_value() && !monitor.leases.is_confirmed(*monitor.leader);
+  const bool is_due = (unconfirmed && monitor.probed_at + kDoubtInterval <= now) ||
+                      (!answered_recently && monitor.probed_at + interval <= now);
+  if (primary != nullptr && (asks_all || is_due)) {
     monitor.probed_at = now;
     send_probe(group.id(), primary->entry, now);
   }
--- a/servers/failover/failover_duty.h
+++ b/servers/failover/failover_duty.h
@@ -24,7 +24,7 @@
   virtual void on_primary_position(const GroupId& group, const LogPoint& position, TimePoint at) = 0;
   /// Called before `leader` is announced. Returns true if a later holder of the duty would learn of it: the store has
   /// recorded it, or no host reaches the store. Otherwise the leader begins to be recorded.
-  virtual bool is_leader_recorded(const GroupId& group, const GroupLeader& leader, TimePoint now) = 0;
+  virtual bool ensure_leader_recorded(const GroupId& group, const GroupLeader& leader, TimePoint now) = 0;
   /// Called when `leader` is announced as the primary of the group: leases on earlier primaries have run out.
   virtual void on_leader_announced(const GroupId& group, const GroupLeader& leader, TimePoint now) = 0;
 };
@@ -127,8 +127,6 @@
   /// Follows the announced primary and the one that waits for its announcement.
   void update_leader(const UpstreamGroup& group, GroupMonitor& monitor, TimePoint now);
   void grant_lease(const UpstreamGroup& group, GroupMonitor& monitor, const EvidenceBoard& board, TimePoint now);
-  /// Takes a position that the announced leader returned as the primary of its term for a proof that it led then.
-  static void confirm_by_position(const UpstreamGroup& group, GroupMonitor& monitor);
   /// Notes what a member reported about its role.
   static void note_role(GroupMonitor& monitor, const ControlOutcome& outcome);
   void send_step_down(const UpstreamGroup& group, GroupMonitor& monitor, TimePoint now);
--- a/servers/failover/primary_replacement.cc
+++ b/servers/failover/primary_replacement.cc
@@ -174,20 +174,23 @@
     m_services.renew_token();
     m_next_promotion = now + kRefusalRetryDelay;
   }
+  restart_survey(now);
+  return true;
+}
+
+void PrimaryReplacement::restart_survey(TimePoint now) {
   m_state_entered_at = now;
   m_reports.clear();
-  return true;
 }
 
 bool PrimaryReplacement::waits_for_former_promotion(TimePoint now) {
   const bool is_stopped = std::any_of(m_reports.begin(), m_reports.end(), [this](const auto& report) {
     return is_stopped_by_former_holder(report.second);
   });
-  if (!is_stopped || now >= m_input.former_promotions_effective_at) {
+  if (!is_stopped || now >= m_input.duty_began + kVerifyTimeout) {
     return false;
   }
-  m_state_entered_at = now;
-  m_reports.clear();
+  restart_survey(now);
   return true;
 }
 
@@ -489,7 +492,7 @@
   if (m_promotion_sent || now < m_unanswered_promotion_until) {
     return;
   }
-  const bool former_orders_ended = m_former_orders_fenced || now >= m_input.former_orders_end_at;
+  const bool former_orders_ended = m_former_orders_fenced || now >= m_input.duty_began + kUnansweredPromotionTime;
   bool awaits_former_orders = false;
   for (const auto& [member, report] : m_reports) {
     if (is_stopped_by_former_holder(report) && !former_orders_ended) {
--- a/servers/failover/primary_replacement.h
+++ b/servers/failover/primary_replacement.h
@@ -68,10 +68,8 @@
   bool members_current = false;
   /// When the last lease on reading at the old primary runs out.
   TimePoint leases_end_at;
-  /// When no promotion order of an earlier holder of the duty can take effect any more.
-  TimePoint former_orders_end_at;
-  /// When a promotion has taken effect that the platform accepted from an earlier holder of the duty.
-  TimePoint former_promotions_effective_at;
+  /// When this host took the duty. Promotions of earlier holders can take effect for some time after it.
+  TimePoint duty_began;
 };
 
 /// Replaces the primary of one group without losing an acknowledged commit.
@@ -142,6 +140,7 @@
   /// members, or the known replicas and one primary are at least as many as the group's largest_size().
   bool knows_all_replicas(const UpstreamGroup& group) const;
   bool waits_for_token(TimePoint now);
+  void restart_survey(TimePoint now);
   /// Returns true while a replica is stopped by an earlier holder of the duty whose promotion may not have taken effect
   /// yet. It ends the stop, and statements may run at the promoted member if it is the one that hosts know as the
   /// primary. The survey then begins again.
@@ -167,10 +166,10 @@
   /// Makes the platform reject outstanding orders of former holders of the duty: it has seen this holder's higher token
   /// once the present primary has been promoted again, which changes nothing else.
   void fence_former_orders(TimePoint now);
+  void on_fence_answered(PromotionOutcome outcome);
   bool is_stopped_by_former_holder(const MemberReport& report) const {
     return report.stopped_below > Term(0) && !m_own_terms.contains(report.stopped_below);
   }
-  void on_fence_answered(PromotionOutcome outcome);
   void give_up(const UpstreamGroup& group, const std::string& cause, TimePoint now);
 
   GroupId m_group;
--- a/servers/session_host/session_host.cc
+++ b/servers/session_host/session_host.cc
@@ -285,17 +285,14 @@
     return;
   }
   for (const auto& [id, group] : m_sessions.executor().groups()) {
-    if (group.term() == Term(0) || !group.primary().has_value()) {
-      continue;
-    }
-    const GroupLeader leader{*group.primary(), group.term()};
-    if (m_leaders.lacks(id, leader)) {
-      m_leaders.record(id, leader);
+    const std::optional<GroupLeader> leader = group.announced_leader();
+    if (leader.has_value() && m_leaders.lacks(id, *leader)) {
+      m_leaders.record(id, *leader);
     }
   }
 }
 
-bool SessionHost::is_leader_recorded(const GroupId& group, const GroupLeader& leader, TimePoint now) {
+bool SessionHost::ensure_leader_recorded(const GroupId& group, const GroupLeader& leader, TimePoint now) {
   if (m_leaders.is_recorded(group, leader.term)) {
     return true;
   }
@@ -358,8 +355,10 @@
   }
   m_newest_duty_token = std::max(m_newest_duty_token, token->value());
   for (const auto& [id, group] : m_sessions.executor().groups()) {
-    if (const auto until = m_failover.granted_until(id); until.has_value() && group.primary().has_value()) {
-      m_sessions.executor().on_lease(id, {{*group.primary(), group.term()}, *until, token->value()}, now);
+    const std::optional<TimePoint> until = m_failover.granted_until(id);
+    const std::optional<GroupLeader> leader = group.announced_leader();
+    if (until.has_value() && leader.has_value()) {
+      m_sessions.executor().on_lease(id, {*leader, *until, token->value()}, now);
     }
   }
 }
--- a/servers/session_host/session_host.h
+++ b/servers/session_host/session_host.h
@@ -120,7 +120,7 @@
   void on_store_regained(TimePoint now) override;
   void on_store_listed(TimePoint now) override;
   void on_primary_position(const GroupId& group, const LogPoint& position, TimePoint at) override;
-  bool is_leader_recorded(const GroupId& group, const GroupLeader& leader, TimePoint now) override;
+  bool ensure_leader_recorded(const GroupId& group, const GroupLeader& leader, TimePoint now) override;
   void on_leader_announced(const GroupId& group, const GroupLeader& leader, TimePoint now) override;
 
   std::optional<FencingToken> duty_token(TimePoint now) const;
--- a/servers/sessions/connection_setup.cc
+++ b/servers/sessions/connection_setup.cc
@@ -48,7 +48,9 @@
       commands.push_back(std::move(command));
     }
   }
-  session_state.values = values;
+  if (!commands.empty()) {
+    session_state.values = values;
+  }
   return commands;
 }
 
--- a/servers/sessions/session_service.cc
+++ b/servers/sessions/session_service.cc
@@ -59,8 +59,8 @@
 
 void SessionService::on_tick(TimePoint now) {
   m_executor.on_tick(now);
-  for (const SessionId session : std::exchange(m_closing_after_error, {})) {
-    close_if_idle(session, now);
+  for (const SessionId session : std::exchange(m_closing, {})) {
+    close_if_at_rest(session, now);
   }
   advance_stop(now);
   if (now < m_next_sweep) {
@@ -75,8 +75,7 @@
 }
 
 TimePoint SessionService::next_wakeup() const {
-  const bool closes_sessions = !m_closing_after_error.empty() || !m_answered_during_stop.empty();
-  return closes_sessions ? TimePoint() : std::min(m_executor.next_wakeup(), m_next_sweep);
+  return m_closing.empty() ? std::min(m_executor.next_wakeup(), m_next_sweep) : TimePoint();
 }
 
 void SessionService::on_session_opened(SessionId session, const DatabaseName& database, TimePoint now) {
@@ -159,7 +158,7 @@
     run(session, std::get<SessionStatement>(next), now);
   }
   if (has_no_statements(session) && must_close_for_stop(session, now)) {
-    m_answered_during_stop.push_back(session.id);
+    m_closing.push_back(session.id);
   }
 }
 
@@ -303,7 +302,7 @@
   if (m_isolated_since.has_value() && failed) {
     // The caller reconnects for its next attempt, and the load balancer may route the new session to a host that is not
     // isolated.
-    m_closing_after_error.push_back(id);
+    m_closing.push_back(id);
   }
   run_pending(session->second, now);
 }
@@ -371,14 +370,6 @@
   if (!m_stopping_since.has_value()) {
     return;
   }
-  for (const SessionId id : std::exchange(m_answered_during_stop, {})) {
-    const auto session = m_sessions.find(id);
-    if (session != m_sessions.end() && has_no_statements(session->second) &&
-        must_close_for_stop(session->second, now)) {
-      m_counters.count("sessions_closed_after_answer");
-      close(id, now);
-    }
-  }
   if (now >= *m_stopping_since + m_stop_grace - kStopMargin) {
     end_all_sessions(now);
     m_stopped = true;
@@ -402,10 +393,16 @@
   }
 }
 
-void SessionService::close_if_idle(SessionId id, TimePoint now) {
+void SessionService::close_if_at_rest(SessionId id, TimePoint now) {
   const auto session = m_sessions.find(id);
-  if (session != m_sessions.end() && session->second.state == TransactionState::kIdle &&
-      has_no_statements(session->second)) {
+  if (session == m_sessions.end() || !has_no_statements(session->second)) {
+    return;
+  }
+  const bool closes_for_stop = must_close_for_stop(session->second, now);
+  if (closes_for_stop) {
+    m_counters.count("sessions_closed_after_answer");
+  }
+  if (closes_for_stop || session->second.state == TransactionState::kIdle) {
     close(id, now);
   }
 }
--- a/servers/sessions/session_service.h
+++ b/servers/sessions/session_service.h
@@ -82,7 +82,8 @@
   void end_idle_transactions(TimePoint now);
   void close_inactive_sessions(TimePoint now);
   bool should_close_idle_sessions(TimePoint now) const;
-  void close_if_idle(SessionId id, TimePoint now);
+  /// Closes a session that was marked for it, unless it has got another statement or a transaction meanwhile.
+  void close_if_at_rest(SessionId id, TimePoint now);
   /// Returns true if the host has been stopping for so long that sessions without a transaction are to be closed.
   bool should_close_for_stop(TimePoint now) const;
   /// Returns true if the host has been stopping for so long that open transactions are rolled back.
@@ -107,14 +108,12 @@
   std::map<SessionId, WaitingSession> m_waiting;
   TimePoint m_next_sweep;
   std::optional<TimePoint> m_isolated_since;
-  /// Sessions that got an error while the host was isolated. They are closed on the next tick, when no function on the
-  /// call stack refers to them.
-  std::vector<SessionId> m_closing_after_error;
+  /// Sessions that got an error while the host was isolated, or an answer while it is stopping. They are closed on the
+  /// next tick, when no function on the call stack refers to them.
+  std::vector<SessionId> m_closing;
   std::optional<TimePoint> m_stopping_since;
   Duration m_stop_grace{0};
   bool m_stopped = false;
-  /// Sessions that have been answered during the stop. They are closed on the next tick, like m_closing_after_error.
-  std::vector<SessionId> m_answered_during_stop;
 };
 
 }  // namespace teaselrudder
--- a/servers/sessions/upstream_group.h
+++ b/servers/sessions/upstream_group.h
@@ -110,6 +110,10 @@
   /// Returns the term in which the holder of the failover duty announced the primary; zero if only its own entry names
   /// it. Statements are sent to it only after the announcement.
   Term term() const { return m_term; }
+  /// Returns the primary with its term; nothing if none has been announced.
+  std::optional<GroupLeader> announced_leader() const {
+    return m_term == Term(0) || !m_primary.has_value() ? std::nullopt : std::optional(GroupLeader{*m_primary, m_term});
+  }
 
   /// Sets the primary to `member` in `term`, as announced by the holder of the failover duty, unless a later term is
   /// known. Returns true if the primary changed.
--- a/tests/servers/failover/failover_duty_test.cc
+++ b/tests/servers/failover/failover_duty_test.cc
@@ -257,7 +257,7 @@
     CPPUNIT_ASSERT_EQUAL(granted, m_duty->granted_until(kGroup).value_or(TimePoint()) > m_now);
   }
 
-  bool is_leader_recorded(const GroupId& /*group*/, const GroupLeader& /*leader*/, TimePoint /*now*/) override {
+  bool ensure_leader_recorded(const GroupId& /*group*/, const GroupLeader& /*leader*/, TimePoint /*now*/) override {
     return m_is_leader_recorded;
   }
   void on_primary_position(const GroupId& /*group*/, const LogPoint& /*position*/, TimePoint /*at*/) override {}
