Log what a withheld acknowledgement lacked, and timers that run late

Cause: the logs could not tell whether acknowledgements were withheld because hosts hear too few others, because no lease was granted, or because leases arrive late, nor whether a late holder lacks processor time.

Change: acknowledgement_withheld tells whether the host hears half of the fleet and how much time the newest lease has left, now and when it arrived; timers_late is logged when a tick runs 100 ms or more too late; the metric evidence_read counts the pieces of evidence that the holder of the failover duty goes through. No decision changes.

--- a/servers/failover/evidence_board.cc
+++ b/servers/failover/evidence_board.cc
@@ -22,6 +22,7 @@
 
 std::vector<PrimaryEvidence> EvidenceBoard::fresh_evidence(const GroupId& group, TimePoint now) const {
   std::vector<PrimaryEvidence> evidence;
+  m_evidence_read += m_entries.size();
   for (const auto& [host, entry] : m_entries) {
     const auto found = entry.groups.find(group);
     if (found == entry.groups.end() || now - found->second.arrived_at > kFreshFor) {
--- a/servers/failover/evidence_board.h
+++ b/servers/failover/evidence_board.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <vector>
@@ -56,6 +57,9 @@
   /// arrival time on this host's clock. Returns nothing if it has sent none.
   std::optional<std::pair<std::int64_t, TimePoint>> newest_report_from(const HostId& host) const;
 
+  /// Returns how many hosts' evidence on a group was read so far. It tells the work of the failover duty's holder.
+  std::uint64_t evidence_read() const { return m_evidence_read; }
+
  private:
   struct Evidence {
     PrimaryEvidence evidence;
@@ -72,6 +76,7 @@
   };
 
   std::map<HostId, Entry> m_entries;
+  mutable std::uint64_t m_evidence_read = 0;
 };
 
 }  // namespace teaselrudder
--- a/servers/session_host/session_host.cc
+++ b/servers/session_host/session_host.cc
@@ -78,6 +78,11 @@
     m_log.log_state_change("process_paused", {{"ms", std::to_string(to_milliseconds(now - m_last_tick))}});
     m_duty_suspended_until = now + kDutySuspensionAfterPause;
   }
+  if (m_last_tick != TimePoint() && now >= m_expected_tick + kLateTimers) {
+    m_counters.count("timers_late");
+    m_log.log_state_change("timers_late", {{"ms", std::to_string(to_milliseconds(now - m_expected_tick))},
+                                           {"holds_duty", duty_token(now).has_value() ? "yes" : "no"}});
+  }
   m_last_tick = now;
   // The holder of the duty replaces primaries and has to know all members of a group.
   m_view.set_watch_wait(m_duty.held_version().has_value() ? StoreView::kMinWatchWait
@@ -111,6 +116,7 @@
   }
   request_leases(now);
   log_readiness_change();
+  m_expected_tick = std::max(now, next_wakeup());
 }
 
 TimePoint SessionHost::next_wakeup() const {
@@ -556,6 +562,7 @@
   gauge("store_current", m_view.is_current(now) ? 1 : 0);
   gauge("store_era", static_cast<std::int64_t>(m_store_era.value()));
   gauge("store_revision", m_view.revision().value());
+  gauge("evidence_read", static_cast<std::int64_t>(m_board.evidence_read()));
   gauge("known_hosts", static_cast<std::int64_t>(m_hosts.fleet_size()));
   for (const auto& [id, group] : m_sessions.executor().groups()) {
     const PrimaryEvidence evidence = group.report(now);
--- a/servers/session_host/session_host.h
+++ b/servers/session_host/session_host.h
@@ -96,6 +96,8 @@
   static constexpr Duration kMaxStoreSilence = kRecordTimeToLive / 3 + std::chrono::milliseconds(600);
   /// Time between two ticks from which on the process is assumed to have been paused.
   static constexpr Duration kProcessPauseThreshold = std::chrono::milliseconds(1200);
+  /// Delay of timers from which on it is logged.
+  static constexpr Duration kLateTimers = std::chrono::milliseconds(100);
   /// Time after such a pause in which this host does not act on the failover duty unless its lease is renewed.
   static constexpr Duration kDutySuspensionAfterPause = std::chrono::seconds(2);
 
@@ -204,6 +206,8 @@
   /// Highest fencing token that a holder of the failover duty is known to have used.
   std::uint64_t m_newest_duty_token = 0;
   TimePoint m_last_tick;
+  /// When the next tick was due after the last one, without the timers that were set since.
+  TimePoint m_expected_tick;
   TimePoint m_duty_suspended_until;
   TimePoint m_had_quorum_at;
   /// Until then a new holder of the failover duty grants no leases, and its first order is further away.
--- a/servers/sessions/statement_executor.cc
+++ b/servers/sessions/statement_executor.cc
@@ -133,7 +133,7 @@
     return;
   }
   const bool was_requested = group->requests_lease(now);
-  group->on_lease(lease);
+  group->on_lease(lease, now);
   release_withheld(*group, now);
   if (was_requested) {
     dispatch(*group, now);
--- a/servers/sessions/statement_replies.cc
+++ b/servers/sessions/statement_replies.cc
@@ -273,12 +273,19 @@
   }
   StatementExecution& execution = *session.execution;
   m_services.counters.count("acknowledgements_withheld");
+  const std::optional<PrimaryLease>& lease = group.lease();
+  const auto lease_left_at = [&lease](TimePoint time) {
+    return lease.has_value() ? std::to_string(to_milliseconds(lease->until - time)) : "none";
+  };
   m_services.log.log_state_change("acknowledgement_withheld",
                                   {{"request", execution.statement.id.value()},
                                    {"group", group.id().value()},
                                    {"member", primary.member.value()},
                                    {"position", reply.position.has_value() ? to_text(*reply.position) : "none"},
-                                   {"waited_ms", std::to_string(to_milliseconds(now - execution.phase_since))}});
+                                   {"waited_ms", std::to_string(to_milliseconds(now - execution.phase_since))},
+                                   {"hears_quorum", m_hears_quorum ? "yes" : "no"},
+                                   {"lease_left_ms", lease_left_at(now)},
+                                   {"lease_left_at_arrival_ms", lease_left_at(group.lease_arrived_at())}});
   execution.phase = ExecutionPhase::kConfirming;
   execution.phase_since = now;
   execution.connection.reset();
--- a/servers/sessions/upstream_group.cc
+++ b/servers/sessions/upstream_group.cc
@@ -92,7 +92,7 @@
   return changed;
 }
 
-void UpstreamGroup::on_lease(const PrimaryLease& lease) {
+void UpstreamGroup::on_lease(const PrimaryLease& lease, TimePoint now) {
   const bool is_of_primary = m_term != Term(0) && lease.leader.term == m_term && m_primary == lease.leader.member;
   const bool is_revoked =
       m_revocation.has_value() && lease.leader.term <= m_revocation->term && lease.until <= m_revocation->until;
@@ -100,6 +100,7 @@
     return;
   }
   m_lease = lease;
+  m_lease_arrived_at = now;
   m_revocation.reset();
   m_lease_requested_at.reset();
 }
--- a/servers/sessions/upstream_group.h
+++ b/servers/sessions/upstream_group.h
@@ -120,7 +120,7 @@
   bool update_primary(const MemberId& member, Term term, TimePoint now);
 
   /// Notes a lease. It is ignored if its leader is not the known primary.
-  void on_lease(const PrimaryLease& lease);
+  void on_lease(const PrimaryLease& lease, TimePoint now);
 
   /// Drops the leases on the primary of `replaced`, because the holder of the failover duty is replacing it, and
   /// ignores those that were granted before.
@@ -141,6 +141,10 @@
   /// the primary.
   bool is_leased_at(TimePoint time) const;
 
+  /// Returns the newest lease on the known primary, also if it has run out.
+  const std::optional<PrimaryLease>& lease() const { return m_lease; }
+  TimePoint lease_arrived_at() const { return m_lease_arrived_at; }
+
   /// Returns true if acknowledgements of `primary` that arrive at `time` may be passed on: no other member is promoted
   /// before it holds the commit.
   bool may_acknowledge(const GroupLeader& primary, TimePoint time) const;
@@ -217,6 +221,8 @@
   TimePoint m_primary_learned_at;
   Term m_term;
   std::optional<PrimaryLease> m_lease;
+  /// When the newest lease arrived.
+  TimePoint m_lease_arrived_at;
   /// Leases on the primary of `term` that end before `until` were granted before it was to be replaced.
   struct Revocation {
     Term term;
