Test that the failover duty over a large fleet stays within its share of a core

Cause: nothing bounded the work of the holder with the size of the fleet.

Change: a test with the reports of 294 hosts on 20 groups, and a host that ticks every 5 ms. The bound is the stated target, 1.6% of a core, at 100 ns a piece of evidence.

--- a/tests/servers/failover/failover_duty_test.cc
+++ b/tests/servers/failover/failover_duty_test.cc
@@ -9,6 +9,7 @@
 #include <utility>
 #include <vector>
 
+#include "servers/session_host/session_host.h"
 #include "tests/model/replicated_members.h"
 
 namespace teaselrudder {
@@ -103,6 +104,7 @@
   CPPUNIT_TEST(primary_that_does_not_answer_most_hosts_is_replaced_without_probes);
   CPPUNIT_TEST(primary_that_answers_one_host_is_not_replaced);
   CPPUNIT_TEST(probes_of_many_groups_stay_within_their_budget);
+  CPPUNIT_TEST(duty_over_a_large_fleet_stays_within_its_share_of_a_core);
   CPPUNIT_TEST(no_lease_is_granted_on_a_former_primary_that_reports_to_be_a_replica);
   CPPUNIT_TEST(no_lease_is_granted_on_a_primary_that_has_shown_nothing_since_the_duty_began);
   CPPUNIT_TEST(position_since_the_duty_began_confirms_a_primary_that_the_holder_cannot_reach);
@@ -180,6 +182,30 @@
     CPPUNIT_ASSERT_EQUAL(0, m_replacements);
   }
 
+  // Guards against a holder whose processor is busy with the reports of the fleet, so that its leases arrive too late.
+  void duty_over_a_large_fleet_stays_within_its_share_of_a_core() {
+    constexpr int kHosts = 294;
+    constexpr int kGroups = 20;
+    // 1.6% of a core for control on each node, and 100 ns for each piece of evidence.
+    constexpr std::uint64_t kMostEvidencePerSecond = 160'000;
+    EvidenceReport report = report_on_groups(kGroups);
+    const TimePoint begin = m_now;
+    for (; m_now < begin + std::chrono::seconds(2); m_now += std::chrono::milliseconds(5)) {
+      const bool reports_are_due = (m_now - begin) % SessionHost::kDutyReportInterval == Duration(0);
+      for (int host = 1; reports_are_due && host <= kHosts; ++host) {
+        report.sender = HostId("host" + std::to_string(host));
+        report.sent_at_us = m_now.time_since_epoch().count();
+        m_board->on_report(report, m_now);
+      }
+      m_duty->on_tick(m_groups, *m_board, FencingToken(7), kHosts + 1, true, m_now);
+      m_members->answer_all(m_now);
+      m_members->accept_orders(m_now);
+    }
+    CPPUNIT_ASSERT_EQUAL(0, m_replacements);
+    CPPUNIT_ASSERT_MESSAGE(std::to_string(m_board->evidence_read()) + " pieces of evidence were read in two seconds",
+                           m_board->evidence_read() <= 2 * kMostEvidencePerSecond);
+  }
+
   // Guards against a holder of the duty whose work grows with the number of groups until it is late for all of them.
   // Every group must still be probed.
   void probes_of_many_groups_stay_within_their_budget() {
@@ -294,6 +320,30 @@
     m_replacements += event == "replacement" && begins ? 1 : 0;
   }
 
+  /// Adds `count` groups with one member each, and returns a report of a host that waits for all their primaries.
+  EvidenceReport report_on_groups(int count) {
+    EvidenceReport report;
+    for (int index = 0; index < count; ++index) {
+      const GroupId id("ledger" + std::to_string(index));
+      UpstreamGroup& group = m_groups.try_emplace(id, id).first->second;
+      MemberEntry entry;
+      entry.member = MemberId("of " + id.value());
+      entry.group = id;
+      entry.is_primary = true;
+      group.on_member_seen(entry, m_now);
+      group.update_primary(entry.member, Term(1), m_now);
+      m_members->rows[entry.member] = "primary 1 1 9 0";
+      PrimaryEvidence evidence;
+      evidence.group = id;
+      evidence.primary = entry.member;
+      evidence.term = Term(1);
+      evidence.last_answer_age = FailoverDuty::kSuspicionTimeout;
+      evidence.unanswered_for = FailoverDuty::kSuspicionTimeout;
+      report.groups.push_back(std::move(evidence));
+    }
+    return report;
+  }
+
   /// Advances the time by `time` and sends reports of three other hosts. If `silent` is true, this host and the others
   /// wait for an answer of the primary.
   void run_for(Duration time, bool members_current, bool silent) {
