Compute the heard share of the fleet from few hosts, and not for each report

Each host asked several times per tick which share of the fleet it hears, and went through all hosts for it, although only its ten neighbours report to it; hosts without the failover duty did so to learn that they do not hold it. The holder did so for each report that it received.

Change: ReportRing keeps the hosts whose reports are expected, with the sizes of the failure domains. A host without the duty's record does not ask for the share to know that it holds no duty, and the share is kept for 20 ms; it depends on reports of up to 900 ms ago.

--- a/servers/session_host/known_hosts.cc
+++ b/servers/session_host/known_hosts.cc
@@ -37,7 +37,7 @@
     }
   }
   m_fleet_size = 1 + active.size();
-  m_ring.set_hosts(std::move(others), std::move(active));
+  m_ring.set_hosts(others, std::move(active));
 }
 
 const KnownHosts::Host* KnownHosts::find(const HostId& host) const {
--- a/servers/session_host/report_ring.cc
+++ b/servers/session_host/report_ring.cc
@@ -52,47 +52,62 @@
 
 }  // namespace
 
-void ReportRing::set_hosts(std::map<HostId, FailureDomainId> others, std::set<HostId> active) {
-  m_others = std::move(others);
+void ReportRing::set_hosts(const std::map<HostId, FailureDomainId>& others, std::set<HostId> active) {
   m_active = std::move(active);
   m_neighbours.clear();
-  if (m_others.size() > 2 * kNeighbours) {
-    std::map<HostId, FailureDomainId> all = m_others;
+  if (others.size() > 2 * kNeighbours) {
+    std::map<HostId, FailureDomainId> all = others;
     all.emplace(m_self, m_domain);
     m_neighbours = neighbours_of(m_self, all);
-    return;
   }
-  for (const auto& [host, domain] : m_others) {
-    m_neighbours.insert(host);
+  const bool all_are_neighbours = m_neighbours.empty();
+  m_domains.clear();
+  m_other_hosts.clear();
+  m_neighbour_hosts.clear();
+  std::map<FailureDomainId, std::size_t> indices;
+  for (const auto& [host, domain_id] : others) {
+    if (all_are_neighbours) {
+      m_neighbours.insert(host);
+    }
+    const auto [index, added] = indices.try_emplace(domain_id, m_domains.size());
+    if (added) {
+      m_domains.emplace_back();
+    }
+    const OtherHost other{host, index->second, m_active.contains(host)};
+    Domain& domain = m_domains[other.domain];
+    ++domain.hosts;
+    domain.active_hosts += other.is_active ? 1 : 0;
+    m_other_hosts.push_back(other);
+    if (is_neighbour(host)) {
+      m_neighbour_hosts.push_back(other);
+    }
   }
 }
 
 double ReportRing::reachable_share(const std::function<bool(const HostId&)>& is_reachable, bool active_only) const {
   struct DomainSample {
-    std::size_t counted = 0;
     std::size_t expected = 0;
     std::size_t reachable = 0;
   };
-  std::map<FailureDomainId, DomainSample> samples;
-  for (const auto& [host, domain] : m_others) {
-    if (active_only && !m_active.contains(host)) {
+  std::vector<DomainSample> samples(m_domains.size());
+  for (const OtherHost& other : reporting_hosts()) {
+    if (active_only && !other.is_active) {
       continue;
     }
-    DomainSample& sample = samples[domain];
-    ++sample.counted;
-    if (holds_duty() || is_neighbour(host)) {
-      ++sample.expected;
-      sample.reachable += is_reachable(host) ? 1 : 0;
-    }
+    DomainSample& sample = samples[other.domain];
+    ++sample.expected;
+    sample.reachable += is_reachable(other.host) ? 1 : 0;
   }
   double fleet_size = 1;
   double reachable_size = 1;
-  for (const auto& [domain, sample] : samples) {
+  for (std::size_t index = 0; index < samples.size(); ++index) {
+    const DomainSample& sample = samples[index];
     if (sample.expected == 0) {
       continue;
     }
-    fleet_size += static_cast<double>(sample.counted);
-    reachable_size += static_cast<double>(sample.counted * sample.reachable) / static_cast<double>(sample.expected);
+    const std::size_t hosts = active_only ? m_domains[index].active_hosts : m_domains[index].hosts;
+    fleet_size += static_cast<double>(hosts);
+    reachable_size += static_cast<double>(hosts * sample.reachable) / static_cast<double>(sample.expected);
   }
   return reachable_size / fleet_size;
 }
--- a/servers/session_host/report_ring.h
+++ b/servers/session_host/report_ring.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <set>
 #include <utility>
+#include <vector>
 
 #include "core/ids.h"
 
@@ -27,7 +28,7 @@
   /// those that have a record or sent a report recently. A host that is not in `active` keeps its place and still gets
   /// reports, because it may be cut off and learns from the reports that the network works again. No reports are
   /// expected from it.
-  void set_hosts(std::map<HostId, FailureDomainId> others, std::set<HostId> active);
+  void set_hosts(const std::map<HostId, FailureDomainId>& others, std::set<HostId> active);
   const std::optional<HostId>& duty_holder() const { return m_holder; }
   void set_duty_holder(std::optional<HostId> holder) { m_holder = std::move(holder); }
 
@@ -58,15 +59,32 @@
   bool exchanges_duty_reports(const HostId& other) const { return holds_duty() || m_holder == other; }
 
  private:
+  /// The hosts of one failure domain, without this host.
+  struct Domain {
+    std::size_t hosts = 0;
+    std::size_t active_hosts = 0;
+  };
+  /// Another host with the index of its failure domain in m_domains.
+  struct OtherHost {
+    HostId host;
+    std::size_t domain = 0;
+    bool is_active = false;
+  };
+
   bool holds_duty() const { return m_holder == m_self; }
+  /// Returns the hosts that send reports to this one if they are active.
+  const std::vector<OtherHost>& reporting_hosts() const { return holds_duty() ? m_other_hosts : m_neighbour_hosts; }
   double reachable_share(const std::function<bool(const HostId&)>& is_reachable, bool active_only) const;
 
   HostId m_self;
   FailureDomainId m_domain;
   std::optional<HostId> m_holder;
-  std::map<HostId, FailureDomainId> m_others;
   std::set<HostId> m_neighbours;
   std::set<HostId> m_active;
+  // The share of reachable hosts is asked for in every tick, so what it is computed from is kept ready.
+  std::vector<Domain> m_domains;
+  std::vector<OtherHost> m_other_hosts;
+  std::vector<OtherHost> m_neighbour_hosts;
 };
 
 }  // namespace teaselrudder
--- a/servers/session_host/session_host.cc
+++ b/servers/session_host/session_host.cc
@@ -128,9 +128,12 @@
 
 std::optional<FencingToken> SessionHost::duty_token(TimePoint now) const {
   const std::optional<RecordVersion> version = m_duty.held_version();
+  if (!version.has_value() || m_stopping) {
+    return std::nullopt;
+  }
   // A host in the minority is more likely to be cut off itself than the primaries that it cannot reach are to be lost.
   const double share = heard_share(now);
-  if (!version.has_value() || m_stopping || share < ReportRing::kHalf) {
+  if (share < ReportRing::kHalf) {
     return std::nullopt;
   }
   // Without its lease the holder needs more than half, so that it shares a host with everyone who acts with a lease.
@@ -174,8 +177,12 @@
 }
 
 double SessionHost::heard_share(TimePoint now) const {
-  return m_hosts.ring().reachable_share(
-      [this, now](const HostId& host) { return m_board.has_fresh_report(host, now); });
+  if (!m_heard_share_at.has_value() || now < *m_heard_share_at || now >= *m_heard_share_at + kHeardShareValidity) {
+    m_heard_share_at = now;
+    m_heard_share =
+        m_hosts.ring().reachable_share([this, now](const HostId& host) { return m_board.has_fresh_report(host, now); });
+  }
+  return m_heard_share;
 }
 
 void SessionHost::update_duty(TimePoint now) {
--- a/servers/session_host/session_host.h
+++ b/servers/session_host/session_host.h
@@ -96,6 +96,9 @@
   static constexpr Duration kMaxStoreSilence = kRecordTimeToLive / 3 + std::chrono::milliseconds(600);
   /// Time between two ticks from which on the process is assumed to have been paused.
   static constexpr Duration kProcessPauseThreshold = std::chrono::milliseconds(1200);
+  /// Time for which the share of the fleet that this host hears is taken as unchanged. The holder of the failover duty
+  /// needs it for each report, and it depends on the reports of all hosts.
+  static constexpr Duration kHeardShareValidity = std::chrono::milliseconds(20);
   /// Delay of timers from which on it is logged.
   static constexpr Duration kLateTimers = std::chrono::milliseconds(100);
   /// Time after such a pause in which this host does not act on the failover duty unless its lease is renewed.
@@ -210,6 +213,9 @@
   TimePoint m_expected_tick;
   TimePoint m_duty_suspended_until;
   TimePoint m_had_quorum_at;
+  /// The share of the fleet that this host heard at a time; see kHeardShareValidity.
+  mutable double m_heard_share = 0;
+  mutable std::optional<TimePoint> m_heard_share_at;
   /// Until then a new holder of the failover duty grants no leases, and its first order is further away.
   TimePoint m_duty_vacant_until;
   bool m_stopping = false;
