--- a/servers/failover/evidence_board.cc
+++ b/servers/failover/evidence_board.cc
@@ -5,7 +5,11 @@
 namespace teaselrudder {
 
 void EvidenceBoard::on_report(const EvidenceReport& report, TimePoint now) {
-  Entry& entry = m_entries[report.sender];
+  const auto [known, added] = m_entries.try_emplace(report.sender);
+  Entry& entry = known->second;
+  if (added) {
+    entry.index = m_entries.size() - 1;
+  }
   if (entry.arrived_at != TimePoint() && report.sent_at_us < entry.sent_at_us &&
       now < entry.arrived_at + kForgetAfter) {
     return;
@@ -16,7 +20,11 @@
   entry.hears_duty_holder = report.hears_duty_holder;
   entry.arrived_at = now;
   for (const PrimaryEvidence& evidence : report.groups) {
-    m_evidence[evidence.group][report.sender] = {evidence, now};
+    std::vector<Evidence>& on_group = m_evidence[evidence.group];
+    if (on_group.size() <= entry.index) {
+      on_group.resize(entry.index + 1);
+    }
+    on_group[entry.index] = {evidence, now};
   }
 }
 
@@ -27,8 +35,8 @@
     return;
   }
   m_evidence_read += found->second.size();
-  for (const auto& [host, entry] : found->second) {
-    if (now - entry.arrived_at <= kFreshFor) {
+  for (const Evidence& entry : found->second) {
+    if (entry.is_fresh(now)) {
       visit(entry.evidence, now - entry.arrived_at);
     }
   }
@@ -36,9 +44,8 @@
 
 bool EvidenceBoard::has_fresh_evidence(const GroupId& group, TimePoint now) const {
   const auto found = m_evidence.find(group);
-  return found != m_evidence.end() && std::any_of(found->second.begin(), found->second.end(), [now](const auto& entry) {
-           return now - entry.second.arrived_at <= kFreshFor;
-         });
+  return found != m_evidence.end() && std::any_of(found->second.begin(), found->second.end(),
+                                                  [now](const Evidence& entry) { return entry.is_fresh(now); });
 }
 
 bool EvidenceBoard::has_fresh_report(const HostId& host, TimePoint now) const {
@@ -64,16 +71,15 @@
 
 bool EvidenceBoard::all_dropped_leases(const GroupId& group, Term replaced, TimePoint since, TimePoint now) const {
   const auto on_group = m_evidence.find(group);
-  const auto has_dropped = [&](const HostId& host) {
-    if (on_group == m_evidence.end()) {
+  const auto has_dropped = [&](const Entry& host) {
+    if (on_group == m_evidence.end() || on_group->second.size() <= host.index) {
       return false;
     }
-    const auto found = on_group->second.find(host);
-    return found != on_group->second.end() && found->second.arrived_at >= since &&
-           found->second.evidence.replaced_term >= replaced;
+    const Evidence& newest = on_group->second[host.index];
+    return newest.arrived_at >= since && newest.evidence.replaced_term >= replaced;
   };
   return std::all_of(m_entries.begin(), m_entries.end(), [&](const auto& entry) {
-    return now - entry.second.arrived_at > kFreshFor || has_dropped(entry.first);
+    return now - entry.second.arrived_at > kFreshFor || has_dropped(entry.second);
   });
 }
 
--- a/servers/failover/evidence_board.h
+++ b/servers/failover/evidence_board.h
@@ -66,10 +66,15 @@
  private:
   struct Evidence {
     PrimaryEvidence evidence;
+    /// The epoch if the host has sent none.
     TimePoint arrived_at;
+
+    bool is_fresh(TimePoint now) const { return arrived_at != TimePoint() && now - arrived_at <= kFreshFor; }
   };
   /// Last report of one host.
   struct Entry {
+    /// Place of the host's evidence in the vectors of m_evidence.
+    std::size_t index = 0;
     std::int64_t sent_at_us = 0;
     bool store_current = false;
     bool holds_duty = false;
@@ -78,8 +83,9 @@
   };
 
   std::map<HostId, Entry> m_entries;
-  /// The evidence of each host. Each report covers only some groups.
-  std::map<GroupId, std::map<HostId, Evidence>> m_evidence;
+  /// The evidence of the hosts on each group, by their index. Each report covers only some groups. Vectors, because the
+  /// holder of the failover duty goes through all evidence many times per second.
+  std::map<GroupId, std::vector<Evidence>> m_evidence;
   mutable std::uint64_t m_evidence_read = 0;
 };
 
