Update the list of hosts once for all records that arrive together

Change: a record only marks the list as changed. It is updated at the end of a listing and in the next tick, which is due at once.

--- a/servers/session_host/session_host.cc
+++ b/servers/session_host/session_host.cc
@@ -84,6 +84,9 @@
                                            {"holds_duty", duty_token(now).has_value() ? "yes" : "no"}});
   }
   m_last_tick = now;
+  if (m_hosts_changed) {
+    update_hosts(now);
+  }
   // The holder of the duty replaces primaries and has to know all members of a group.
   m_view.set_watch_wait(m_duty.held_version().has_value() ? StoreView::kMinWatchWait
                                                           : StoreView::watch_wait_for(m_settings.configuration_bound),
@@ -120,6 +123,9 @@
 }
 
 TimePoint SessionHost::next_wakeup() const {
+  if (m_hosts_changed) {
+    return TimePoint();
+  }
   const TimePoint lease_request = m_sessions.executor().requests_lease() ? m_next_lease_request : TimePoint::max();
   return std::min({lease_request, m_quota.next_wakeup(), m_leaders.next_wakeup(), m_view.next_wakeup(),
                    m_record.next_wakeup(), m_duty.next_wakeup(), m_failover.next_wakeup(), m_sessions.next_wakeup(),
@@ -265,6 +271,9 @@
 }
 
 void SessionHost::on_store_listed(TimePoint now) {
+  if (m_hosts_changed) {
+    update_hosts(now);
+  }
   m_record.on_store_listed(now);
   m_duty.on_store_listed(now);
 }
@@ -306,10 +315,12 @@
     return;
   }
   m_hosts.on_record(host, record.value, now);
-  update_hosts(now);
+  m_hosts_changed = true;
 }
 
 void SessionHost::update_hosts(TimePoint now) {
+  m_hosts_changed = false;
+  m_counters.count("host_list_updates");
   m_hosts.update(m_board.known_hosts(now), now);
   m_view.set_fleet_size(m_hosts.fleet_size());
   m_quota.on_hosts_changed(now);
--- a/servers/session_host/session_host.h
+++ b/servers/session_host/session_host.h
@@ -201,6 +201,9 @@
   /// Era in which this host last waited for the end of a lease from an earlier era.
   StoreEra m_former_holder_awaited_in;
   KnownHosts m_hosts;
+  /// Records of other hosts have changed since the last update. The update takes time in proportion to the fleet, so it
+  /// is done once for all records that arrive together.
+  bool m_hosts_changed = false;
   QuotaExchange m_quota;
   TimePoint m_next_duty_report;
   int m_announcements_left = 0;
