Record a stale read in a random run outside of the seeds that run

Cause, read from its trace: host1 is cut off with the primary (5.7 to 7.3 s) while the holder revokes the leases and orders a promotion, which gets no answer. The holder loses the duty at 6.8 s and the next one takes it at 8.7 s. In between host1 hears a majority that hears no holder, knows of no revocation, and passes commits on without a lease, up to 1.35. The order takes effect at 9.7 s with a log up to 1.21.

--- a/tests/servers/sessions/session_host_random_test.cc
+++ b/tests/servers/sessions/session_host_random_test.cc
@@ -602,6 +602,7 @@
   CPPUNIT_TEST(guarantees_hold_with_domains_cut_off_during_replacements);
   CPPUNIT_TEST(guarantees_hold_with_domains_cut_off_and_without_fences);
   CPPUNIT_TEST(no_acknowledged_commit_is_lost_when_members_change_around_a_lost_primary);
+  CPPUNIT_TEST(no_read_lacks_acknowledged_commits_when_members_change_around_a_lost_primary);
   CPPUNIT_TEST(commit_received_by_a_member_that_joins_right_after_a_cut_is_not_acknowledged);
   CPPUNIT_TEST(accounts_and_quotas_hold_under_random_faults);
   CPPUNIT_TEST(accounts_and_quotas_hold_with_domains_cut_off);
@@ -703,6 +704,11 @@
     CPPUNIT_ASSERT_MESSAGE("too few runs replaced a primary", promotions > kSeeds);
   }
 
+  // Guards against reads at a member that lacks acknowledged commits, in a run outside of the seeds above.
+  void no_read_lacks_acknowledged_commits_when_members_change_around_a_lost_primary() {
+    expect_no_violations(kSeedOfStaleRead, {.changes = MemberChanges::kAroundLosses});
+  }
+
   // Guards against the loss of a commit that a member receives which joins, not yet in the store, on the side of a
   // primary that has been cut off for less than a report interval.
   void commit_received_by_a_member_that_joins_right_after_a_cut_is_not_acknowledged() {
@@ -757,6 +763,7 @@
   static constexpr std::uint64_t kSeeds = 150;
   static constexpr std::uint64_t kSeedOfJoinRightAfterCut = 20;
   static constexpr std::uint64_t kSeedOfOutdatedPrimary = 133;
+  static constexpr std::uint64_t kSeedOfStaleRead = 446;
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(SessionHostRandomTest);
