Ask rarely for leases while they arrive too late

Change: the interval of the requests doubles up to a second while no lease arrives that allows an acknowledgement. The regular reports bring one every 500 ms anyhow. A new holder is asked at once.

--- a/servers/session_host/session_host.cc
+++ b/servers/session_host/session_host.cc
@@ -4,6 +4,7 @@
 #include <utility>
 #include <vector>
 
+#include "servers/configuration/backoff.h"
 #include "servers/session_host/host_entry.h"
 
 namespace teaselrudder {
@@ -297,6 +298,8 @@
 void SessionHost::on_record(const RecordChanged& record, TimePoint now) {
   if (record.key == kDutyKey) {
     m_duty.on_record(record, now);
+    m_lease_requests_in_vain = 0;
+    m_next_lease_request = std::min(m_next_lease_request, now + kLeaseRequestInterval);
     m_hosts.ring().set_duty_holder(record.value.has_value() ? std::optional<HostId>(duty_holder(*record.value))
                                                             : std::nullopt);
     return;
@@ -469,9 +472,11 @@
     m_counters.count("leases_without_valid_time");
     return;
   }
-  m_sessions.executor().on_lease(
-      evidence.group, {{evidence.primary, evidence.term}, *sent_after + evidence.lease_remaining, evidence.lease_token},
-      now);
+  const TimePoint until = *sent_after + evidence.lease_remaining;
+  if (now <= until - PrimaryLease::kCommitMargin) {
+    m_lease_requests_in_vain = 0;
+  }
+  m_sessions.executor().on_lease(evidence.group, {{evidence.primary, evidence.term}, until, evidence.lease_token}, now);
 }
 
 void SessionHost::request_leases(TimePoint now) {
@@ -479,7 +484,10 @@
     return;
   }
   m_sessions.executor().clear_lease_request();
-  m_next_lease_request = now + kLeaseRequestInterval;
+  // Callers commit at random times, so the requests of the hosts need no further jitter.
+  m_next_lease_request =
+      now + backoff_delay(m_lease_requests_in_vain, kLeaseRequestInterval, kMaxLeaseRequestInterval, 1);
+  ++m_lease_requests_in_vain;
   const std::optional<HostId>& holder_id = m_hosts.ring().duty_holder();
   const KnownHosts::Host* const holder = holder_id.has_value() ? m_hosts.find(*holder_id) : nullptr;
   if (holder == nullptr) {
--- a/servers/session_host/session_host.h
+++ b/servers/session_host/session_host.h
@@ -86,8 +86,11 @@
   /// Maximum number of groups in one report; further groups are sent in additional reports. A report of this size fits
   /// into a datagram of 8 KB even with the longest names.
   static constexpr std::size_t kGroupsPerReport = 32;
-  /// Minimum time between two reports that request a lease on reading at a primary.
+  /// Minimum time between two reports that request a lease on reading at a primary. It doubles up to the maximum while
+  /// the leases that arrive allow no acknowledgement, because a holder of the failover duty that is late would
+  /// otherwise get more requests the later it is.
   static constexpr Duration kLeaseRequestInterval = std::chrono::milliseconds(250);
+  static constexpr Duration kMaxLeaseRequestInterval = std::chrono::seconds(1);
   /// Number of consecutive reports that the holder of the failover duty sends to all hosts after it found a new
   /// primary. There are several because reports may be lost.
   static constexpr int kPrimaryAnnouncements = 3;
@@ -209,6 +212,8 @@
   int m_announcements_left = 0;
   TimePoint m_next_report;
   TimePoint m_next_lease_request;
+  /// Number of requests since the last lease that allowed acknowledgements.
+  std::uint32_t m_lease_requests_in_vain = 0;
   /// Highest fencing token that a holder of the failover duty is known to have used.
   std::uint64_t m_newest_duty_token = 0;
   TimePoint m_last_tick;
--- a/tests/model/session_world.cc
+++ b/tests/model/session_world.cc
@@ -12,7 +12,6 @@
 namespace {
 
 constexpr Duration kTick = std::chrono::milliseconds(1);
-constexpr Duration kReportDelay = std::chrono::milliseconds(1);
 /// Time after which members close the connections of a host that is down.
 constexpr Duration kLingeringConnectionTime = std::chrono::seconds(3);
 /// Time between the publication of a member's entry and the first log that it receives.
@@ -95,7 +94,7 @@
         m_world.m_isolated_hosts.contains(m_host) != m_world.m_isolated_hosts.contains(target)) {
       return;
     }
-    m_world.m_events.at(m_world.m_events.now() + kReportDelay, [this, target, receive] {
+    m_world.m_events.at(m_world.m_events.now() + m_world.report_delay, [this, target, receive] {
       if (target < m_world.m_hosts.size() && m_world.m_hosts[target] != nullptr && m_world.m_hosts[target]->host &&
           m_world.m_events.now() >= m_world.m_hosts[target]->frozen_until) {
         receive(*m_world.m_hosts[target]->host, m_world.m_events.now());
--- a/tests/model/session_world.h
+++ b/tests/model/session_world.h
@@ -112,6 +112,8 @@
   void allow_path(std::size_t host, std::size_t member) { m_allowed_paths.insert({host, member}); }
   /// Drops all reports between hosts.
   bool drops_reports = false;
+  /// Time that a report takes from host to host.
+  Duration report_delay = std::chrono::milliseconds(1);
   /// Drops reports with more groups than this, like datagrams that are too large.
   std::size_t max_groups_per_report = 64;
   /// Number of additional groups in the configuration; they have no members.
--- a/tests/servers/session_host/lease_reports_test.cc
+++ b/tests/servers/session_host/lease_reports_test.cc
@@ -21,6 +21,7 @@
   CPPUNIT_TEST(fresh_read_waits_for_a_lease_only_as_long_as_one_report);
   CPPUNIT_TEST(restarted_fleet_uses_the_recorded_primary_at_once);
   CPPUNIT_TEST(no_write_is_acknowledged_while_nobody_grants_leases);
+  CPPUNIT_TEST(lease_requests_become_rare_while_leases_arrive_too_late);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -132,6 +133,27 @@
     expect_no_violations(world);
   }
 
+  // Guards against a holder of the failover duty that is late and gets the more requests for leases the later it is.
+  void lease_requests_become_rare_while_leases_arrive_too_late() {
+    constexpr int kSeconds = 10;
+    SessionWorld world(4);
+    const std::size_t caller = world.open_session(kReader, SessionWorld::kPrimaryReads);
+    CPPUNIT_ASSERT(!world.send_and_wait(caller, StatementKind::kWrite).error.has_value());
+    // Every lease arrives without the time that an acknowledgement needs.
+    world.report_delay = PrimaryLease::kCommitMargin;
+    world.run_for(kSecond);
+    const std::uint64_t before = world.counters(kReader).value("lease_requests");
+    for (const TimePoint end = world.events().now() + kSeconds * kSecond; world.events().now() < end;) {
+      CPPUNIT_ASSERT(world.send_and_wait(caller, StatementKind::kWrite).error.has_value());
+    }
+    // As many as the regular reports that bring leases to a host that asks for none.
+    const auto regular_reports = static_cast<std::uint64_t>(kSeconds * kSecond / SessionHost::kDutyReportInterval);
+    CPPUNIT_ASSERT(world.counters(kReader).value("lease_requests") - before <= regular_reports);
+    world.report_delay = std::chrono::milliseconds(1);
+    world.run_for(kSecond);
+    CPPUNIT_ASSERT(!world.send_and_wait(caller, StatementKind::kWrite).error.has_value());
+  }
+
  private:
   static constexpr std::size_t kReader = 1;
 
