Let hosts that missed a revocation commit only under a lease

Cause: while nobody holds the failover duty, a host passes commits on without a lease unless it knows that the leases were revoked. A host that was cut off during the revocation did not know. An order of the former holder without an answer then took effect and dropped what it had passed on.

Change: reports tell of a revocation until a lease is granted again (revoked_term), and a host that hears of one commits at this primary only under a lease granted since. A host without the duty's holder hears more than half of the fleet before it commits without a lease, so one that knows of the revocation tells it. Holders take no part in this, and what they count as dropped leases (replaced_term) is as before.

--- a/core/ports/evidence_port.h
+++ b/core/ports/evidence_port.h
@@ -44,6 +44,9 @@
   /// Term of the primary that the holder of the failover duty is replacing; zero if the sender knows of none. The
   /// sender has dropped the leases on that primary, so it passes on no acknowledgement until a new one is granted.
   Term replaced_term;
+  /// Term of a primary on which the leases were revoked at the sender, while none has been granted since; zero if there
+  /// is none. Its replacement may still take effect, also if nobody holds the failover duty any more.
+  Term revoked_term;
   /// Highest log position that a caller was told to be committed, as far as the sender knows; zero if it knows of none.
   LogPoint acknowledged;
 };
--- a/drivers/rpc/evidence.capnp
+++ b/drivers/rpc/evidence.capnp
@@ -32,6 +32,8 @@
   acknowledgedTerm @16 :UInt64;
   acknowledgedPosition @17 :UInt64;
   # Highest position that a caller was told to be committed, as far as the sender knows.
+  revokedTerm @18 :UInt64;
+  # Term of a primary on which the leases were revoked, and none granted since. Zero if the sender knows of none.
 }
 
 struct QuotaTokens {
--- a/drivers/rpc/evidence.capnp.h
+++ b/drivers/rpc/evidence.capnp.h
@@ -35,7 +35,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(e958f2c58a89c39d, 14, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(e958f2c58a89c39d, 15, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -144,6 +144,8 @@
 
   inline  ::uint64_t getAcknowledgedPosition() const;
 
+  inline  ::uint64_t getRevokedTerm() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -234,6 +236,9 @@
   inline  ::uint64_t getAcknowledgedPosition();
   inline void setAcknowledgedPosition( ::uint64_t value);
 
+  inline  ::uint64_t getRevokedTerm();
+  inline void setRevokedTerm( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -878,6 +883,20 @@
       ::capnp::bounded<13>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t PrimaryEvidence::Reader::getRevokedTerm() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<14>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t PrimaryEvidence::Builder::getRevokedTerm() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<14>() * ::capnp::ELEMENTS);
+}
+inline void PrimaryEvidence::Builder::setRevokedTerm( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<14>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool QuotaTokens::Reader::hasAccount() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/drivers/rpc/evidence_socket.cc
+++ b/drivers/rpc/evidence_socket.cc
@@ -43,6 +43,7 @@
   to.setDoubtsPrimary(from.doubts_primary);
   to.setLacksConnection(from.lacks_connection);
   to.setReplacedTerm(from.replaced_term.value());
+  to.setRevokedTerm(from.revoked_term.value());
   to.setAcknowledgedTerm(from.acknowledged.term.value());
   to.setAcknowledgedPosition(from.acknowledged.position.value());
 }
@@ -66,6 +67,7 @@
   to.doubts_primary = from.getDoubtsPrimary();
   to.lacks_connection = from.getLacksConnection();
   to.replaced_term = Term(from.getReplacedTerm());
+  to.revoked_term = Term(from.getRevokedTerm());
   to.acknowledged = {Term(from.getAcknowledgedTerm()), LogPosition(from.getAcknowledgedPosition())};
   return to;
 }
--- a/servers/session_host/session_host.cc
+++ b/servers/session_host/session_host.cc
@@ -391,6 +391,9 @@
     m_sessions.executor().update_primary(evidence.group, evidence.primary, evidence.term, now);
     apply_lease(report, evidence, now);
     m_sessions.executor().on_acknowledged_elsewhere(evidence.group, evidence.acknowledged);
+    if (evidence.revoked_term != Term(0)) {
+      m_sessions.executor().on_revoked_elsewhere(evidence.group, evidence.revoked_term, now);
+    }
     if (evidence.lacks_connection) {
       m_sessions.executor().on_connection_lacked_elsewhere(evidence.group, evidence.primary, now);
     }
@@ -540,7 +543,8 @@
   EvidenceReport report = make_report(now);
   const bool grants_leases = report.duty_token != 0;
   for (const auto& [id, group] : m_sessions.executor().groups()) {
-    if (group.needs_report(now) || group.is_revoked(now) || (grants_leases && m_board.has_fresh_evidence(id, now))) {
+    if (group.needs_report(now) || group.was_being_replaced() ||
+        (grants_leases && m_board.has_fresh_evidence(id, now))) {
       report.groups.push_back(group.report(now));
     }
   }
--- a/servers/sessions/statement_executor.cc
+++ b/servers/sessions/statement_executor.cc
@@ -152,6 +152,12 @@
   }
 }
 
+void StatementExecutor::on_revoked_elsewhere(const GroupId& group_id, Term term, TimePoint now) {
+  if (UpstreamGroup* const group = find_group(group_id); group != nullptr) {
+    group->note_revoked_elsewhere(term, now);
+  }
+}
+
 void StatementExecutor::on_acknowledged_elsewhere(const GroupId& group_id, const LogPoint& position) {
   if (UpstreamGroup* const group = find_group(group_id); group != nullptr) {
     group->note_acknowledged(position);
--- a/servers/sessions/statement_executor.h
+++ b/servers/sessions/statement_executor.h
@@ -89,6 +89,8 @@
   /// Drops the leases on the primary of `replaced`, which the holder of the failover duty is replacing.
   void revoke_leases(const GroupId& group, Term replaced, TimePoint now);
   void end_revocation(const GroupId& group);
+  /// Notes that another host reports that the leases on the primary of `term` were revoked.
+  void on_revoked_elsewhere(const GroupId& group, Term term, TimePoint now);
   /// Notes that another host told a caller that the commit at `position` is durable.
   void on_acknowledged_elsewhere(const GroupId& group, const LogPoint& position);
   /// Notes that another host has no connection to `member` because the member's limit was reached.
--- a/servers/sessions/statement_replies.cc
+++ b/servers/sessions/statement_replies.cc
@@ -315,7 +315,8 @@
 }
 
 bool StatementExecutor::may_commit_without_lease(const UpstreamGroup& group) const {
-  return m_duty_is_vacant && group.configuration().synchronous && !group.was_being_replaced();
+  return m_duty_is_vacant && group.configuration().synchronous && !group.was_being_replaced() &&
+         !group.was_revoked_elsewhere();
 }
 
 void StatementExecutor::release_all_withheld(TimePoint now) {
--- a/servers/sessions/upstream_group.cc
+++ b/servers/sessions/upstream_group.cc
@@ -102,6 +102,9 @@
   m_lease = lease;
   m_lease_arrived_at = now;
   m_revocation.reset();
+  if (m_revocation_elsewhere.has_value() && lease.until > m_revocation_elsewhere->until) {
+    m_revocation_elsewhere.reset();
+  }
   m_lease_requested_at.reset();
 }
 
@@ -113,6 +116,12 @@
   m_lease.reset();
 }
 
+void UpstreamGroup::note_revoked_elsewhere(Term term, TimePoint now) {
+  if (term >= m_term && (!m_revocation_elsewhere.has_value() || m_revocation_elsewhere->term < term)) {
+    m_revocation_elsewhere = Revocation{term, now + PrimaryLease::kTimeToLive};
+  }
+}
+
 bool UpstreamGroup::is_leased_at(TimePoint time) const {
   return m_lease.has_value() && m_primary_learned_at <= time && time <= m_lease->until;
 }
@@ -240,6 +249,7 @@
   }
   report.requests_lease = requests_lease(now);
   report.replaced_term = is_revoked(now) && !m_lease.has_value() ? m_revocation->term : Term(0);
+  report.revoked_term = was_being_replaced() ? m_revocation->term : Term(0);
   report.acknowledged = m_acknowledged;
   report.doubts_primary = doubts_primary(now);
   if (const auto newest = m_evidence.newest(); newest.has_value()) {
--- a/servers/sessions/upstream_group.h
+++ b/servers/sessions/upstream_group.h
@@ -130,6 +130,12 @@
   /// Returns true if the leases on the known primary were revoked and none has been granted since. Its replacement may
   /// still take effect.
   bool was_being_replaced() const { return m_revocation.has_value() && m_revocation->term >= m_term; }
+  /// Notes that another host reports that the leases on the primary of `term` were revoked and none was granted since.
+  /// This host may have missed the revocation.
+  void note_revoked_elsewhere(Term term, TimePoint now);
+  bool was_revoked_elsewhere() const {
+    return m_revocation_elsewhere.has_value() && m_revocation_elsewhere->term >= m_term;
+  }
   bool is_revoked(TimePoint now) const { return m_revocation.has_value() && now < m_revocation->until; }
 
   /// Notes that a caller was told that the commit at `position` is durable.
@@ -229,6 +235,8 @@
     TimePoint until;
   };
   std::optional<Revocation> m_revocation;
+  /// A revocation that another host reported. Only a lease that was granted since ends it.
+  std::optional<Revocation> m_revocation_elsewhere;
   LogPoint m_acknowledged;
   std::optional<TimePoint> m_lease_requested_at;
   std::optional<TimePoint> m_doubted_at;
--- a/tests/drivers/evidence_socket_test.cc
+++ b/tests/drivers/evidence_socket_test.cc
@@ -42,6 +42,8 @@
     group.lease_token = 16;
     group.requests_lease = true;
     group.lacks_connection = true;
+    group.replaced_term = Term(3);
+    group.revoked_term = Term(2);
     report.groups = {group, PrimaryEvidence{}};
     const auto read = decode_evidence(encode_evidence(report));
     CPPUNIT_ASSERT(read.has_value());
@@ -50,6 +52,7 @@
     CPPUNIT_ASSERT(read->groups[0].lease_remaining == group.lease_remaining && read->groups[0].lease_token == 16);
     CPPUNIT_ASSERT(read->groups[0].requests_lease && !read->groups[0].doubts_primary);
     CPPUNIT_ASSERT(read->groups[0].lacks_connection);
+    CPPUNIT_ASSERT(read->groups[0].replaced_term == Term(3) && read->groups[0].revoked_term == Term(2));
     CPPUNIT_ASSERT_EQUAL(std::size_t{2}, read->groups.size());
     CPPUNIT_ASSERT(read->groups[0].position == group.position && read->groups[0].position_age == group.position_age);
     CPPUNIT_ASSERT(read->groups[0].last_answer_age == group.last_answer_age && !read->groups[0].commit_age.has_value());
@@ -65,7 +68,8 @@
     PrimaryEvidence group;
     group.group = GroupId(std::string(40, 'g'));
     group.primary = MemberId(std::string(40, 'm'));
-    group.term = Term(UINT64_MAX);
+    group.term = group.replaced_term = group.revoked_term = Term(UINT64_MAX);
+    group.acknowledged = {Term(UINT64_MAX), LogPosition(UINT64_MAX)};
     group.last_answer_age = group.commit_age = Duration(INT64_MAX / 2);
     group.lease_remaining = Duration(INT64_MAX / 2);
     group.lease_token = UINT64_MAX;
--- a/tests/servers/sessions/session_host_member_change_test.cc
+++ b/tests/servers/sessions/session_host_member_change_test.cc
@@ -34,6 +34,7 @@
   CPPUNIT_TEST(commit_received_only_by_a_replica_that_restarted_after_the_stop_is_not_acknowledged);
   CPPUNIT_TEST(late_order_drops_no_commit_of_an_old_primary_that_is_reachable_again);
   CPPUNIT_TEST(primary_of_the_next_duty_holder_keeps_its_commits_after_a_late_order_of_the_former_one);
+  CPPUNIT_TEST(host_that_missed_a_revocation_passes_no_commit_on_while_nobody_holds_the_duty);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -132,6 +133,26 @@
     }
   }
 
+  // Guards against commits that a late order of a killed holder drops: a host that was cut off while the leases were
+  // revoked found that nobody holds the duty and passed acknowledgements of the old primary on without a lease.
+  void host_that_missed_a_revocation_passes_no_commit_on_while_nobody_holds_the_duty() {
+    for (const Duration delay : {Duration(0), 200 * kMillisecond, 500 * kMillisecond}) {
+      Scene scene(true);
+      scene.world.members().delayed_promotions = 1;
+      scene.world.isolate({scene.beside}, {scene.old_primary});
+      scene.run_until_ordered();
+      scene.world.kill_host(scene.holder);
+      scene.world.store().down = true;
+      scene.keep_writing(delay);
+      scene.heal();
+      scene.world.restart_member(scene.replica_without_order(), 20 * kMillisecond, Duration(0));
+      scene.keep_writing(15 * kSecond);
+      scene.world.store().down = false;
+      scene.keep_writing(10 * kSecond);
+      expect_no_violations(scene.world);
+    }
+  }
+
  private:
   /// A group whose primary is about to be lost, and callers that write at all hosts.
   struct Scene {
