--- a/tests/servers/failover/failover_duty_test.cc
+++ b/tests/servers/failover/failover_duty_test.cc
@@ -211,14 +211,7 @@
   void probes_of_many_groups_stay_within_their_budget() {
     constexpr int kGroups = 200;
     for (int index = 0; index < kGroups; ++index) {
-      const GroupId id("ledger" + std::to_string(index));
-      UpstreamGroup& group = m_groups.try_emplace(id, id).first->second;
-      MemberEntry entry;
-      entry.member = MemberId("of " + id.value());
-      entry.group = id;
-      entry.is_primary = true;
-      group.on_member_seen(entry, m_now);
-      m_members->rows[entry.member] = "primary 1 1 9 0";
+      add_group(GroupId("ledger" + std::to_string(index)));
     }
     const TimePoint begin = m_now;
     for (; m_now < begin + std::chrono::seconds(2); m_now += kTick) {
@@ -320,22 +313,27 @@
     m_replacements += event == "replacement" && begins ? 1 : 0;
   }
 
+  /// Adds a group with one member, its primary, which answers status commands.
+  UpstreamGroup& add_group(const GroupId& id) {
+    UpstreamGroup& group = m_groups.try_emplace(id, id).first->second;
+    MemberEntry entry;
+    entry.member = MemberId("of " + id.value());
+    entry.group = id;
+    entry.is_primary = true;
+    group.on_member_seen(entry, m_now);
+    m_members->rows[entry.member] = "primary 1 1 9 0";
+    return group;
+  }
+
   /// Adds `count` groups with one member each, and returns a report of a host that waits for all their primaries.
   EvidenceReport report_on_groups(int count) {
     EvidenceReport report;
     for (int index = 0; index < count; ++index) {
-      const GroupId id("ledger" + std::to_string(index));
-      UpstreamGroup& group = m_groups.try_emplace(id, id).first->second;
-      MemberEntry entry;
-      entry.member = MemberId("of " + id.value());
-      entry.group = id;
-      entry.is_primary = true;
-      group.on_member_seen(entry, m_now);
-      group.update_primary(entry.member, Term(1), m_now);
-      m_members->rows[entry.member] = "primary 1 1 9 0";
+      UpstreamGroup& group = add_group(GroupId("ledger" + std::to_string(index)));
       PrimaryEvidence evidence;
-      evidence.group = id;
-      evidence.primary = entry.member;
+      evidence.group = group.id();
+      evidence.primary = *group.primary();
+      group.update_primary(evidence.primary, Term(1), m_now);
       evidence.term = Term(1);
       evidence.last_answer_age = FailoverDuty::kSuspicionTimeout;
       evidence.unanswered_for = FailoverDuty::kSuspicionTimeout;
