Split ReportRing::set_hosts into steps

Cause: it chose the neighbours and built the lists of hosts in one function of thirty lines.

Change: one function for each step, with the same result.

--- a/servers/session_host/report_ring.cc
+++ b/servers/session_host/report_ring.cc
@@ -54,33 +54,40 @@
 
 void ReportRing::set_hosts(const std::map<HostId, FailureDomainId>& others, std::set<HostId> active) {
   m_active = std::move(active);
-  m_neighbours.clear();
-  if (others.size() > 2 * kNeighbours) {
-    std::map<HostId, FailureDomainId> all = others;
-    all.emplace(m_self, m_domain);
-    m_neighbours = neighbours_of(m_self, all);
-  }
-  const bool all_are_neighbours = m_neighbours.empty();
+  m_neighbours = choose_neighbours(others);
   m_domains.clear();
   m_other_hosts.clear();
   m_neighbour_hosts.clear();
   std::map<FailureDomainId, std::size_t> indices;
-  for (const auto& [host, domain_id] : others) {
-    if (all_are_neighbours) {
-      m_neighbours.insert(host);
-    }
-    const auto [index, added] = indices.try_emplace(domain_id, m_domains.size());
+  for (const auto& [host, domain] : others) {
+    const auto [index, added] = indices.try_emplace(domain, m_domains.size());
     if (added) {
       m_domains.emplace_back();
     }
-    const OtherHost other{host, index->second, m_active.contains(host)};
-    Domain& domain = m_domains[other.domain];
-    ++domain.hosts;
-    domain.active_hosts += other.is_active ? 1 : 0;
-    m_other_hosts.push_back(other);
-    if (is_neighbour(host)) {
-      m_neighbour_hosts.push_back(other);
-    }
+    add_other_host({host, index->second, m_active.contains(host)});
+  }
+}
+
+std::set<HostId> ReportRing::choose_neighbours(const std::map<HostId, FailureDomainId>& others) const {
+  if (others.size() > 2 * kNeighbours) {
+    std::map<HostId, FailureDomainId> all = others;
+    all.emplace(m_self, m_domain);
+    return neighbours_of(m_self, all);
+  }
+  std::set<HostId> neighbours;
+  for (const auto& [host, domain] : others) {
+    neighbours.insert(host);
+  }
+  return neighbours;
+}
+
+void ReportRing::add_other_host(const OtherHost& other) {
+  Domain& domain = m_domains[other.domain];
+  ++domain.hosts;
+  domain.active_hosts += other.is_active ? 1 : 0;
+  m_other_hosts.push_back(other);
+  if (is_neighbour(other.host)) {
+    m_neighbour_hosts.push_back(other);
   }
 }
 
--- a/servers/session_host/report_ring.h
+++ b/servers/session_host/report_ring.h
@@ -71,6 +71,8 @@
     bool is_active = false;
   };
 
+  std::set<HostId> choose_neighbours(const std::map<HostId, FailureDomainId>& others) const;
+  void add_other_host(const OtherHost& other);
   bool holds_duty() const { return m_holder == m_self; }
   /// Returns the hosts that send reports to this one if they are active.
   const std::vector<OtherHost>& reporting_hosts() const { return holds_duty() ? m_other_hosts : m_neighbour_hosts; }
