Ask again for the heard share when the list of hosts has changed

Cause: the share is kept for 20 ms. A host that has just started hears all of a fleet of one, and could have asked for the failover duty within 20 ms after it read the list of hosts.

Change: an update of the list drops the kept share.

--- a/servers/session_host/session_host.cc
+++ b/servers/session_host/session_host.cc
@@ -323,6 +323,7 @@
 
 void SessionHost::update_hosts(TimePoint now) {
   m_hosts_changed = false;
+  m_heard_share_at.reset();
   m_counters.count("host_list_updates");
   m_hosts.update(m_board.known_hosts(now), now);
   m_view.set_fleet_size(m_hosts.fleet_size());
