Pass the hosts of the ring's test without a move that has no effect

Change: the test passes the map as it is.

Measured: the linter is clean on the file, and the ring's test passes.

--- a/tests/servers/session_host/report_ring_test.cc
+++ b/tests/servers/session_host/report_ring_test.cc
@@ -99,7 +99,7 @@
         others.emplace(other, FailureDomainId(domain_of(other)));
       }
       rings.emplace(host, ReportRing(host, FailureDomainId(domain_of(host))))
-          .first->second.set_hosts(std::move(others), std::move(active));
+          .first->second.set_hosts(others, std::move(active));
     }
     return rings;
   }
