--- a/review/stand_ins_2/small_deployment.cc
+++ b/review/stand_ins_2/small_deployment.cc
@@ -1,5 +1,5 @@
 // Stand-ins of a small deployment (store, platform, three members, clients) around real host processes, and the
-// timelines of two cases of the review: "odd_entry" and "slow_reader". See the claim.txt of the cases.
+// timelines of three cases of the review: "odd_entry", "slow_reader" and "removed". See the claim.txt of the cases.
 #include <arpa/inet.h>
 #include <fcntl.h>
 #include <netinet/in.h>
@@ -52,6 +52,14 @@
 constexpr Millis kAfterFrom = kRestartAt + kRecoveryTime + 500;
 constexpr Millis kEndAt = kAfterFrom + 10000;
 
+// The case of the removed machines: four of six, one after the other. All processes are killed while the last one
+// stops.
+constexpr int kRemovedHosts = 4;
+constexpr Millis kRemovalGap = 1300;
+constexpr Millis kBalancerNotice = 2200;
+constexpr Millis kAllKilledAt = kCrashAt + kRemovedHosts * kRemovalGap + 300;
+constexpr Millis kLeftRestartAt = kAllKilledAt + 1000;
+
 // The case of the slow reader: its timeline, its link (small windows, about 20 Mbit/s), and the long answer.
 constexpr Millis kReaderOpensAt = 5000;
 constexpr Millis kTermAt = 6000;
@@ -563,7 +571,7 @@
   int run_odd_entry() {
     start_hosts();
     m_clients.resize(kClients);
-    while (now() < kEndAt) {
+    while (now() < m_end_at) {
       m_loop.run_once(2);
       on_tick();
       advance_timeline(now());
@@ -574,6 +582,23 @@
     return judge();
   }
 
+  /// Most machines are removed as planned before the final fault.
+  int run_removed() {
+    m_after_from = kLeftRestartAt + kRecoveryTime + 500;
+    m_end_at = m_after_from + 10000;
+    start_hosts();
+    m_clients.resize(kClients);
+    while (now() < m_end_at) {
+      m_loop.run_once(2);
+      on_tick();
+      advance_removal(now());
+      for (std::size_t index = 0; index < m_clients.size(); ++index) {
+        drive(index, now());
+      }
+    }
+    return judge();
+  }
+
   /// A caller reads a long answer over a slow link while its host is stopped as planned.
   int run_slow_reader() {
     start_hosts();
@@ -590,6 +615,8 @@
     pid_t pid = -1;
     std::uint16_t front = 0;
     std::string settings;
+    /// When the machine was removed for good; zero if it was not.
+    Millis removed_at = 0;
   };
   struct Client {
     std::shared_ptr<Stream> stream;
@@ -672,6 +699,9 @@
 
   void start_hosts() {
     for (Host& host : m_hosts) {
+      if (host.removed_at > 0) {
+        continue;
+      }
       const pid_t pid = fork();
       if (pid == 0) {
         prctl(PR_SET_PDEATHSIG, SIGKILL);
@@ -775,6 +805,34 @@
     }
   }
 
+  void advance_removal(Millis at) {
+    for (std::size_t index = 0; m_trouble && index < kRemovedHosts; ++index) {
+      Host& host = m_hosts[index];
+      if (host.removed_at == 0 && at >= kCrashAt + static_cast<Millis>(index) * kRemovalGap) {
+        host.removed_at = at;
+        kill(host.pid, SIGTERM);
+        note("front-" + std::to_string(index) + " gets SIGTERM and is removed");
+      }
+      if (host.removed_at > 0 && host.pid > 0 && waitpid(host.pid, nullptr, WNOHANG) == host.pid) {
+        host.pid = -1;
+        note("the process of front-" + std::to_string(index) + " has ended");
+      }
+    }
+    if (m_step == 0 && at >= kAllKilledAt) {
+      m_step = 1;
+      kill_hosts();
+      note("all host processes are killed");
+    } else if (m_step == 1 && at >= kLeftRestartAt) {
+      m_step = 2;
+      start_hosts();
+    }
+  }
+
+  /// Returns whether the balancer sends new connections to the host.
+  bool is_in_rotation(const Host& host, Millis at) const {
+    return host.removed_at == 0 || at < host.removed_at + kBalancerNotice;
+  }
+
   void accept_platform(const std::shared_ptr<Stream>& stream) {
     const std::weak_ptr<Stream> weak = stream;
     stream->on_input = [this, weak] {
@@ -962,7 +1020,7 @@
     if (sent_at >= kBeforeFrom && sent_at < kCrashAt - kClientDeadline) {
       return &m_before;
     }
-    return sent_at >= kAfterFrom && sent_at < kEndAt - kClientDeadline ? &m_after : nullptr;
+    return sent_at >= m_after_from && sent_at < m_end_at - kClientDeadline ? &m_after : nullptr;
   }
 
   void finish(Client& client, bool served, const std::string& how) {
@@ -997,7 +1055,11 @@
     Client& client = m_clients[index];
     const std::vector<std::string> databases = {"adjust", "status", "history"};
     // Each further session goes to the next host, as after a retry.
-    const Host& host = m_hosts[(index + client.sessions++) % m_hosts.size()];
+    std::size_t place = (index + client.sessions++) % m_hosts.size();
+    while (!is_in_rotation(m_hosts[place], now())) {
+      place = (place + 1) % m_hosts.size();
+    }
+    const Host& host = m_hosts[place];
     client.is_ready = false;
     client.stream = m_loop.connect_to(host.front);
     if (client.stream == nullptr) {
@@ -1155,6 +1217,8 @@
   Stream* m_long_stream = nullptr;
   std::size_t m_reader_bytes = 0;
   std::size_t m_reader_tail = 0;
+  Millis m_after_from = kAfterFrom;
+  Millis m_end_at = kEndAt;
   Window m_before;
   Window m_after;
   int m_step = 0;
@@ -1171,7 +1235,11 @@
       return 2;
     }
     Deployment deployment(trouble == nullptr || std::string(trouble) != "0", arguments[2]);
-    return std::string(arguments[1]) == "slow_reader" ? deployment.run_slow_reader() : deployment.run_odd_entry();
+    const std::string name = arguments[1];
+    if (name == "removed") {
+      return deployment.run_removed();
+    }
+    return name == "slow_reader" ? deployment.run_slow_reader() : deployment.run_odd_entry();
   } catch (...) {
     return 2;
   }
