--- a/review/stand_ins_2/small_deployment.cc
+++ b/review/stand_ins_2/small_deployment.cc
@@ -584,6 +584,7 @@
 
   /// Most machines are removed as planned before the final fault.
   int run_removed() {
+    m_before_to = kAllKilledAt;
     m_after_from = kLeftRestartAt + kRecoveryTime + 500;
     m_end_at = m_after_from + 10000;
     start_hosts();
@@ -1017,7 +1018,7 @@
   }
 
   Window* window_at(Millis sent_at) {
-    if (sent_at >= kBeforeFrom && sent_at < kCrashAt - kClientDeadline) {
+    if (sent_at >= kBeforeFrom && sent_at < m_before_to - kClientDeadline) {
       return &m_before;
     }
     return sent_at >= m_after_from && sent_at < m_end_at - kClientDeadline ? &m_after : nullptr;
@@ -1217,6 +1218,7 @@
   Stream* m_long_stream = nullptr;
   std::size_t m_reader_bytes = 0;
   std::size_t m_reader_tail = 0;
+  Millis m_before_to = kCrashAt;
   Millis m_after_from = kAfterFrom;
   Millis m_end_at = kEndAt;
   Window m_before;
