Log when a host gains or loses the quorum, and say which hosts count

The logs told that acknowledgements are withheld (hears_quorum=no) and that the duty was released, not which hosts were counted.

Change: a log line 'quorum' with the heard share, the number of known hosts and of those without a record.

--- a/servers/session_host/session_host.cc
+++ b/servers/session_host/session_host.cc
@@ -1,6 +1,7 @@
 #include "servers/session_host/session_host.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 #include <vector>
 
@@ -194,6 +195,7 @@
 
 void SessionHost::update_duty(TimePoint now) {
   const bool has_quorum = heard_share(now) >= ReportRing::kHalf;
+  log_quorum_change(has_quorum, now);
   if (has_quorum) {
     m_had_quorum_at = now;
   } else if (m_duty.held_version().has_value() && now >= m_had_quorum_at + kMaxDutyWithoutQuorum) {
@@ -203,6 +205,18 @@
   m_duty.on_tick(is_ready() && has_quorum && now >= m_duty_suspended_until, now);
 }
 
+void SessionHost::log_quorum_change(bool has_quorum, TimePoint now) {
+  if (std::exchange(m_had_quorum, has_quorum) == has_quorum) {
+    return;
+  }
+  const auto unlisted = std::count_if(m_hosts.all().begin(), m_hosts.all().end(),
+                                      [](const auto& known) { return known.second.unlisted_since.has_value(); });
+  m_log.log_state_change("quorum", {{"held", has_quorum ? "yes" : "no"},
+                                    {"heard_percent", std::to_string(std::lround(heard_share(now) * 100))},
+                                    {"hosts", std::to_string(m_hosts.all().size() + 1)},
+                                    {"without_record", std::to_string(unlisted)}});
+}
+
 bool SessionHost::store_is_unreachable_for_all(TimePoint now) const {
   // After a pause of this process the last reports of the other hosts are outdated.
   if (m_view.is_current(now) || now < m_duty_suspended_until) {
--- a/servers/session_host/session_host.h
+++ b/servers/session_host/session_host.h
@@ -159,6 +159,8 @@
   double heard_share(TimePoint now) const;
   /// Lets the duty be acquired only with a quorum and releases it if there has been none for a while.
   void update_duty(TimePoint now);
+  /// Logs whether this host hears enough of the fleet for the failover duty, and which hosts count, when that changes.
+  void log_quorum_change(bool has_quorum, TimePoint now);
   /// Returns true if the store is unreachable for this host and for all hosts whose reports arrive. Nobody else can
   /// then take over the duty, so a lease that could not be renewed remains valid.
   bool store_is_unreachable_for_all(TimePoint now) const;
@@ -221,6 +223,7 @@
   TimePoint m_expected_tick;
   TimePoint m_duty_suspended_until;
   TimePoint m_had_quorum_at;
+  bool m_had_quorum = false;
   /// The share of the fleet that this host heard at a time; see kHeardShareValidity.
   mutable double m_heard_share = 0;
   mutable std::optional<TimePoint> m_heard_share_at;
