Do not count hosts that announced their stop as a part of the fleet

Cause: a removed host counted as a part of the fleet until its record expired (6 s) and for 30 s more, so the hosts that were left heard less than half of it: no holder of the failover duty, no leases, no acknowledgements, no evidence for reads. Ruled out: the store, the members and the connections to them (undisturbed, and reads and writes go through until the processes end).

Change: a stopping host says so at once, in its reports and in its record, and has no vote from then on. That is sure evidence, since the process never acts for the fleet again; its successor has another incarnation. docs/design/fleet-membership.md has the argument why two hosts that learn of a stop at different times do not act at once.

Tests: FleetMembershipTest.

--- a/core/ports/evidence_port.h
+++ b/core/ports/evidence_port.h
@@ -73,6 +73,8 @@
   bool hears_duty_holder = false;
   /// True if the platform's store has answered the sender recently.
   bool store_current = false;
+  /// True if the sender is stopping gracefully. It then has no vote in decisions for the fleet.
+  bool stopping = false;
   std::vector<PrimaryEvidence> groups;
 };
 
--- a/drivers/rpc/evidence.capnp
+++ b/drivers/rpc/evidence.capnp
@@ -63,4 +63,5 @@
   # The sender holds the failover duty or has recently received a report of its holder.
   quota @9 :QuotaMessage;
   # Set in a message about the quotas of client accounts, which has no groups.
+  stopping @10 :Bool;
 }
--- a/drivers/rpc/evidence.capnp.h
+++ b/drivers/rpc/evidence.capnp.h
@@ -492,6 +492,8 @@
   inline bool hasQuota() const;
   inline  ::teaselrudder::rpc::QuotaMessage::Reader getQuota() const;
 
+  inline bool getStopping() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -562,6 +564,9 @@
   inline void adoptQuota(::capnp::Orphan< ::teaselrudder::rpc::QuotaMessage>&& value);
   inline ::capnp::Orphan< ::teaselrudder::rpc::QuotaMessage> disownQuota();
 
+  inline bool getStopping();
+  inline void setStopping(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1240,6 +1245,20 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
+inline bool EvidenceReport::Reader::getStopping() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<258>() * ::capnp::ELEMENTS);
+}
+
+inline bool EvidenceReport::Builder::getStopping() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<258>() * ::capnp::ELEMENTS);
+}
+inline void EvidenceReport::Builder::setStopping(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<258>() * ::capnp::ELEMENTS, value);
+}
+
 }  // namespace
 }  // namespace
 
--- a/drivers/rpc/evidence_socket.cc
+++ b/drivers/rpc/evidence_socket.cc
@@ -109,6 +109,7 @@
   root.setStoreCurrent(report.store_current);
   root.setNewestDutyToken(report.newest_duty_token);
   root.setHearsDutyHolder(report.hears_duty_holder);
+  root.setStopping(report.stopping);
   auto groups = root.initGroups(static_cast<unsigned int>(report.groups.size()));
   for (unsigned int index = 0; index < groups.size(); ++index) {
     write_group(report.groups[index], groups[index]);
@@ -128,6 +129,7 @@
     read.store_current = root.getStoreCurrent();
     read.newest_duty_token = root.getNewestDutyToken();
     read.hears_duty_holder = root.getHearsDutyHolder();
+    read.stopping = root.getStopping();
     const auto groups = root.getGroups();
     if (groups.size() > kMaxGroups || read.sender.value().empty() || root.hasQuota()) {
       return;
--- a/servers/catalogue/leased_record.cc
+++ b/servers/catalogue/leased_record.cc
@@ -36,6 +36,7 @@
   m_stored_revision = record.value.has_value() ? std::optional<StoreRevision>(record.revision) : std::nullopt;
   m_stored_value = record.value.value_or("");
   const bool is_own = m_stored_value == m_value && record.lease == m_lease;
+  m_value_outdated = m_value_outdated && !is_own;
   if (m_state == State::kUnconfirmed && is_own) {
     confirm(record.revision, now);
     return;
@@ -100,6 +101,10 @@
     m_store.renew_lease(*m_renewal, *m_lease, *this);
     return;
   }
+  if (m_state == State::kHeld && m_value_outdated && !m_call.has_value() && now >= m_next_attempt) {
+    m_next_attempt = now + kMaxRetryDelay;
+    send_write();
+  }
   if (m_state == State::kWriting && !m_call.has_value() && now >= m_next_attempt) {
     handle_loss("store did not confirm the write", now);
   }
@@ -120,7 +125,8 @@
     case State::kWriting:
       return m_call.has_value() ? TimePoint::max() : m_next_attempt;
     case State::kHeld:
-      return m_renewal.has_value() ? TimePoint::max() : m_next_renewal;
+      return std::min(m_renewal.has_value() ? TimePoint::max() : m_next_renewal,
+                      m_value_outdated && !m_call.has_value() ? m_next_attempt : TimePoint::max());
     case State::kRequestingLease:
     case State::kUnconfirmed:
       return TimePoint::max();
@@ -152,6 +158,7 @@
   m_renewal.reset();
   m_lease.reset();
   m_version.reset();
+  m_value_outdated = false;
 }
 
 void LeasedRecord::rewrite() {
@@ -160,6 +167,12 @@
   }
 }
 
+void LeasedRecord::set_value(std::string value) {
+  m_value = std::move(value);
+  m_value_outdated = m_state == State::kHeld || m_state == State::kWriting;
+  m_next_attempt = m_state == State::kHeld ? TimePoint() : m_next_attempt;
+}
+
 void LeasedRecord::on_superseded(TimePoint now) {
   if (held_version().has_value()) {
     handle_loss("another host uses a higher revision", now);
@@ -236,6 +249,8 @@
 
 void LeasedRecord::on_written(tl::expected<CoordinationResult, CoordinationError> outcome, TimePoint now) {
   if (outcome.has_value() && std::holds_alternative<StoreRevision>(*outcome)) {
+    // The value may have changed after the first write was sent, but not after a later one.
+    m_value_outdated = m_value_outdated && m_state != State::kHeld;
     on_acquired(std::get<StoreRevision>(*outcome), now);
     return;
   }
--- a/servers/catalogue/leased_record.h
+++ b/servers/catalogue/leased_record.h
@@ -68,6 +68,9 @@
   /// Writes the record again, so that it gets a higher revision. Ignored unless the record is held.
   void rewrite();
 
+  /// Changes the value. A record that is held is written until the store contains the value.
+  void set_value(std::string value);
+
   /// Gives up the record after a receiver rejected its revision because another host has used a higher one.
   void on_superseded(TimePoint now);
 
@@ -123,6 +126,8 @@
   /// Revision and value under the key as the store last reported them; empty if the key does not exist.
   std::optional<StoreRevision> m_stored_revision;
   std::string m_stored_value;
+  /// The value has changed while the record was held, and the store has not confirmed the new one.
+  bool m_value_outdated = false;
   TimePoint m_next_attempt;
   TimePoint m_earliest_acquisition;
   TimePoint m_next_renewal;
--- a/servers/failover/evidence_board.cc
+++ b/servers/failover/evidence_board.cc
@@ -4,7 +4,7 @@
 
 namespace teaselrudder {
 
-void EvidenceBoard::on_report(const EvidenceReport& report, TimePoint now) {
+bool EvidenceBoard::on_report(const EvidenceReport& report, TimePoint now) {
   const auto [known, added] = m_entries.try_emplace(report.sender);
   Entry& entry = known->second;
   if (added) {
@@ -12,7 +12,7 @@
   }
   if (entry.arrived_at != TimePoint() && report.sent_at_us < entry.sent_at_us &&
       now < entry.arrived_at + kForgetAfter) {
-    return;
+    return false;
   }
   entry.sent_at_us = report.sent_at_us;
   entry.store_current = report.store_current;
@@ -26,6 +26,7 @@
     }
     on_group[entry.index] = {evidence, now};
   }
+  return true;
 }
 
 void EvidenceBoard::visit_fresh_evidence(const GroupId& group, TimePoint now,
--- a/servers/failover/evidence_board.h
+++ b/servers/failover/evidence_board.h
@@ -21,8 +21,8 @@
   static constexpr Duration kForgetAfter = std::chrono::seconds(5);
 
   /// Stores a report. A report that was sent before the newest one of the same sender is ignored, unless that one
-  /// arrived more than kForgetAfter ago.
-  void on_report(const EvidenceReport& report, TimePoint now);
+  /// arrived more than kForgetAfter ago. Returns false then.
+  bool on_report(const EvidenceReport& report, TimePoint now);
 
   /// Calls `visit` with the evidence on `group` from each fresh report, at most once per host, and with the time since
   /// the report arrived, which its ages do not include.
--- a/servers/session_host/known_hosts.cc
+++ b/servers/session_host/known_hosts.cc
@@ -1,7 +1,6 @@
 #include "servers/session_host/known_hosts.h"
 
 #include <algorithm>
-#include <set>
 #include <utility>
 
 #include "servers/session_host/host_entry.h"
@@ -21,23 +20,38 @@
     m_counters.count("host_entries_malformed");
     return;
   }
-  m_hosts[host] = {entry->evidence_endpoint, entry->domain, std::nullopt};
+  Host& known = m_hosts[host];
+  const bool is_same_process = known.incarnation == entry->incarnation;
+  known = {entry->evidence_endpoint, entry->domain, entry->incarnation, std::nullopt,
+           entry->stopping || (is_same_process && known.stopping)};
 }
 
+void KnownHosts::on_report(const HostId& host, bool stopping) { m_hosts.at(host).stopping = stopping; }
+
 void KnownHosts::update(const std::vector<HostId>& reporting, TimePoint now) {
-  std::erase_if(m_hosts, [now](const auto& known) {
-    return known.second.unlisted_since.has_value() && *known.second.unlisted_since + kUnlistedHostRetention <= now;
+  const auto is_reporting = [&reporting](const HostId& host) {
+    return std::binary_search(reporting.begin(), reporting.end(), host);
+  };
+  std::erase_if(m_hosts, [&](const auto& known) {
+    const auto& [id, host] = known;
+    return host.unlisted_since.has_value() &&
+           (*host.unlisted_since + kUnlistedHostRetention <= now || (host.stopping && !is_reporting(id)));
   });
-  std::map<HostId, FailureDomainId> others;
-  std::set<HostId> active;
+  std::map<HostId, RingHost> others;
+  m_fleet_size = 1;
   for (const auto& [id, host] : m_hosts) {
-    others.emplace(id, host.domain);
-    if (!host.unlisted_since.has_value() || std::binary_search(reporting.begin(), reporting.end(), id)) {
-      active.insert(id);
-    }
+    const HostStanding standing = standing_of(host, is_reporting(id));
+    others[id] = {host.domain, standing};
+    m_fleet_size += standing == HostStanding::kActive || is_reporting(id) ? 1 : 0;
+  }
+  m_ring.set_hosts(others);
+}
+
+HostStanding KnownHosts::standing_of(const Host& host, bool is_reporting) const {
+  if (host.stopping) {
+    return HostStanding::kStopping;
   }
-  m_fleet_size = 1 + active.size();
-  m_ring.set_hosts(others, std::move(active));
+  return !host.unlisted_since.has_value() || is_reporting ? HostStanding::kActive : HostStanding::kUnlisted;
 }
 
 const KnownHosts::Host* KnownHosts::find(const HostId& host) const {
--- a/servers/session_host/known_hosts.h
+++ b/servers/session_host/known_hosts.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
@@ -24,8 +25,12 @@
   struct Host {
     Endpoint endpoint;
     FailureDomainId domain;
+    /// Number of the process that wrote the record.
+    std::uint64_t incarnation = 0;
     /// When the host's record disappeared from the store; nothing if it is there.
     std::optional<TimePoint> unlisted_since;
+    /// The process has announced that it is stopping.
+    bool stopping = false;
   };
 
   /// `counters` must outlive the object.
@@ -36,20 +41,26 @@
   /// counted and otherwise ignored.
   void on_record(const HostId& host, const std::optional<std::string>& value, TimePoint now);
 
-  /// Forgets hosts whose record disappeared long ago. `reporting` contains the hosts that sent a report recently, in
-  /// ascending order.
+  /// Notes whether the newest report of a known host says that it is stopping.
+  void on_report(const HostId& host, bool stopping);
+
+  /// Forgets hosts whose record disappeared long ago, and those without a record that announced their stop before.
+  /// `reporting` contains the hosts that sent a report recently, in ascending order.
   void update(const std::vector<HostId>& reporting, TimePoint now);
 
   const std::map<HostId, Host>& all() const { return m_hosts; }
   /// Returns the host, or null if it is not known.
   const Host* find(const HostId& host) const;
-  /// Returns the number of hosts that have a record in the store or sent a report recently, including this one.
+  /// Returns the number of hosts that have a record in the store or sent a report recently, including this one. Of
+  /// those that are stopping, only the latter count.
   std::size_t fleet_size() const { return m_fleet_size; }
 
   ReportRing& ring() { return m_ring; }
   const ReportRing& ring() const { return m_ring; }
 
  private:
+  HostStanding standing_of(const Host& host, bool is_reporting) const;
+
   Counters& m_counters;
   std::map<HostId, Host> m_hosts;
   std::size_t m_fleet_size = 1;
--- a/servers/session_host/report_ring.cc
+++ b/servers/session_host/report_ring.cc
@@ -52,71 +52,76 @@
 
 }  // namespace
 
-void ReportRing::set_hosts(const std::map<HostId, FailureDomainId>& others, std::set<HostId> active) {
-  m_active = std::move(active);
+void ReportRing::set_hosts(const std::map<HostId, RingHost>& others) {
+  m_active.clear();
   m_neighbours = choose_neighbours(others);
   m_domains.clear();
   m_other_hosts.clear();
   m_neighbour_hosts.clear();
   std::map<FailureDomainId, std::size_t> indices;
-  for (const auto& [host, domain] : others) {
-    const auto [index, added] = indices.try_emplace(domain, m_domains.size());
+  for (const auto& [host, other] : others) {
+    const auto [index, added] = indices.try_emplace(other.domain, m_domains.size());
     if (added) {
       m_domains.emplace_back();
     }
-    add_other_host({host, index->second, m_active.contains(host)});
+    add_other_host({host, index->second, other.standing});
   }
 }
 
-std::set<HostId> ReportRing::choose_neighbours(const std::map<HostId, FailureDomainId>& others) const {
+std::set<HostId> ReportRing::choose_neighbours(const std::map<HostId, RingHost>& others) const {
   if (others.size() > 2 * kNeighbours) {
-    std::map<HostId, FailureDomainId> all = others;
-    all.emplace(m_self, m_domain);
+    std::map<HostId, FailureDomainId> all{{m_self, m_domain}};
+    for (const auto& [host, other] : others) {
+      all.emplace(host, other.domain);
+    }
     return neighbours_of(m_self, all);
   }
   std::set<HostId> neighbours;
-  for (const auto& [host, domain] : others) {
+  for (const auto& [host, other] : others) {
     neighbours.insert(host);
   }
   return neighbours;
 }
 
 void ReportRing::add_other_host(const OtherHost& other) {
-  Domain& domain = m_domains[other.domain];
-  ++domain.hosts;
-  domain.active_hosts += other.is_active ? 1 : 0;
+  for (std::size_t standing = 0; standing <= static_cast<std::size_t>(other.standing); ++standing) {
+    ++m_domains[other.domain][standing];
+  }
+  if (other.standing == HostStanding::kActive) {
+    m_active.insert(other.host);
+  }
   m_other_hosts.push_back(other);
   if (is_neighbour(other.host)) {
     m_neighbour_hosts.push_back(other);
   }
 }
 
-double ReportRing::reachable_share(const std::function<bool(const HostId&)>& is_reachable, bool active_only) const {
+double ReportRing::reachable_share(const std::function<bool(const HostId&)>& is_reachable, HostStanding lowest) const {
   struct DomainSample {
     std::size_t expected = 0;
     std::size_t reachable = 0;
   };
   std::vector<DomainSample> samples(m_domains.size());
   for (const OtherHost& other : reporting_hosts()) {
-    if (active_only && !other.is_active) {
+    if (other.standing < lowest) {
       continue;
     }
     DomainSample& sample = samples[other.domain];
     ++sample.expected;
     sample.reachable += is_reachable(other.host) ? 1 : 0;
   }
-  double fleet_size = 1;
-  double reachable_size = 1;
+  double fleet_size = m_self_stopping ? 0 : 1;
+  double reachable_size = fleet_size;
   for (std::size_t index = 0; index < samples.size(); ++index) {
     const DomainSample& sample = samples[index];
     if (sample.expected == 0) {
       continue;
     }
-    const std::size_t hosts = active_only ? m_domains[index].active_hosts : m_domains[index].hosts;
+    const std::size_t hosts = m_domains[index][static_cast<std::size_t>(lowest)];
     fleet_size += static_cast<double>(hosts);
     reachable_size += static_cast<double>(hosts * sample.reachable) / static_cast<double>(sample.expected);
   }
-  return reachable_size / fleet_size;
+  return fleet_size == 0 ? 1 : reachable_size / fleet_size;
 }
 
 }  // namespace teaselrudder
--- a/servers/session_host/report_ring.h
+++ b/servers/session_host/report_ring.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <cstddef>
 #include <functional>
 #include <map>
@@ -12,6 +13,23 @@
 
 namespace teaselrudder {
 
+/// Whether a host counts as a part of the fleet; see docs/design/fleet-membership.md. Each one counts wherever those
+/// before it do.
+enum class HostStanding {
+  /// The host is stopping, or has stopped, and has said so. It acts for the fleet no more and counts nowhere.
+  kStopping,
+  /// It has no record in the store and sends no reports. It may be cut off.
+  kUnlisted,
+  /// It has a record or sent a report recently.
+  kActive,
+};
+
+/// A host as the others on the ring see it.
+struct RingHost {
+  FailureDomainId domain;
+  HostStanding standing = HostStanding::kActive;
+};
+
 /// Determines which hosts exchange reports. In a small fleet all hosts do. In a large one each host exchanges them with
 /// its neighbours on a ring, so that the number of reports per host does not grow with the fleet. In addition, every
 /// host exchanges them with the holder of the failover duty. The order of the ring mixes the failure domains evenly.
@@ -24,11 +42,12 @@
 
   ReportRing(HostId self, FailureDomainId domain) : m_self(std::move(self)), m_domain(std::move(domain)) {}
 
-  /// Sets the other hosts. `others` also contains hosts whose store record disappeared a while ago; `active` contains
-  /// those that have a record or sent a report recently. A host that is not in `active` keeps its place and still gets
-  /// reports, because it may be cut off and learns from the reports that the network works again. No reports are
-  /// expected from it.
-  void set_hosts(const std::map<HostId, FailureDomainId>& others, std::set<HostId> active);
+  /// Sets the other hosts. A host that is not active keeps its place and still gets reports, because it may be cut off
+  /// and learns from the reports that the network works again. No reports are expected from it.
+  void set_hosts(const std::map<HostId, RingHost>& others);
+
+  /// Notes that this host is stopping: it no longer counts itself.
+  void set_self_stopping() { m_self_stopping = true; }
   const std::optional<HostId>& duty_holder() const { return m_holder; }
   void set_duty_holder(std::optional<HostId> holder) { m_holder = std::move(holder); }
 
@@ -40,46 +59,42 @@
     return m_active.contains(other) && (holds_duty() || is_neighbour(other));
   }
 
-  /// Returns true if this host reaches less than half of the fleet, counting itself. `is_reachable` returns whether
-  /// reports of an expected host arrive. The reachable part of each failure domain is estimated from its expected hosts
-  /// and weighted with the number of all its hosts. A host whose neighbours happen to be mostly in its own failure
-  /// domain thus still notices that the other domains are unreachable.
+  /// Returns true if this host reaches less than half of the fleet, counting itself unless it is stopping.
+  /// `is_reachable` returns whether reports of an expected host arrive. The reachable part of each failure domain is
+  /// estimated from its expected hosts and weighted with the number of all its hosts. A host whose neighbours happen to
+  /// be mostly in its own failure domain thus still notices that the other domains are unreachable.
   bool reaches_minority(const std::function<bool(const HostId&)>& is_reachable) const {
-    return reachable_share(is_reachable, true) < kHalf;
+    return reachable_share(is_reachable, HostStanding::kActive) < kHalf;
   }
 
-  /// Returns the share of the fleet that this host reaches, including the hosts that are not active. A host that the
-  /// store turns away loses its record and may still serve on the other side of a partition, so the right to act for
-  /// the fleet depends on this share.
-  double reachable_share(const std::function<bool(const HostId&)>& is_reachable) const {
-    return reachable_share(is_reachable, false);
-  }
+  /// Returns the share of the fleet that this host reaches, counting the hosts of `lowest` standing and above. A host
+  /// that the store turns away loses its record and may still serve on the other side of a partition, so the right to
+  /// act for the fleet depends on a share that includes such hosts. The share is 1 if nobody counts.
+  double reachable_share(const std::function<bool(const HostId&)>& is_reachable, HostStanding lowest) const;
 
   /// Returns true if this host or `other` holds the failover duty, so that they exchange reports for it.
   bool exchanges_duty_reports(const HostId& other) const { return holds_duty() || m_holder == other; }
 
  private:
-  /// The hosts of one failure domain, without this host.
-  struct Domain {
-    std::size_t hosts = 0;
-    std::size_t active_hosts = 0;
-  };
+  static constexpr std::size_t kStandings = static_cast<std::size_t>(HostStanding::kActive) + 1;
+  /// The number of hosts of one failure domain, without this host, that have each standing or a higher one.
+  using Domain = std::array<std::size_t, kStandings>;
   /// Another host with the index of its failure domain in m_domains.
   struct OtherHost {
     HostId host;
     std::size_t domain = 0;
-    bool is_active = false;
+    HostStanding standing = HostStanding::kActive;
   };
 
-  std::set<HostId> choose_neighbours(const std::map<HostId, FailureDomainId>& others) const;
+  std::set<HostId> choose_neighbours(const std::map<HostId, RingHost>& others) const;
   void add_other_host(const OtherHost& other);
   bool holds_duty() const { return m_holder == m_self; }
   /// Returns the hosts that send reports to this one if they are active.
   const std::vector<OtherHost>& reporting_hosts() const { return holds_duty() ? m_other_hosts : m_neighbour_hosts; }
-  double reachable_share(const std::function<bool(const HostId&)>& is_reachable, bool active_only) const;
 
   HostId m_self;
   FailureDomainId m_domain;
+  bool m_self_stopping = false;
   std::optional<HostId> m_holder;
   std::set<HostId> m_neighbours;
   std::set<HostId> m_active;
--- a/servers/session_host/session_host.cc
+++ b/servers/session_host/session_host.cc
@@ -179,16 +179,16 @@
       m_board.is_duty_holder_heard_elsewhere(kDutyHolderSilence, now)) {
     return false;
   }
-  return m_hosts.ring().reachable_share([this, now](const HostId& host) {
-    return m_board.has_report_within(host, kMaxCommitsWithoutQuorum, now);
-  }) > ReportRing::kHalf;
+  return m_hosts.ring().reachable_share(
+             [this, now](const HostId& host) { return m_board.has_report_within(host, kMaxCommitsWithoutQuorum, now); },
+             HostStanding::kUnlisted) > ReportRing::kHalf;
 }
 
 double SessionHost::heard_share(TimePoint now) const {
   if (!m_heard_share_at.has_value() || now < *m_heard_share_at || now >= *m_heard_share_at + kHeardShareValidity) {
     m_heard_share_at = now;
-    m_heard_share =
-        m_hosts.ring().reachable_share([this, now](const HostId& host) { return m_board.has_fresh_report(host, now); });
+    m_heard_share = m_hosts.ring().reachable_share(
+        [this, now](const HostId& host) { return m_board.has_fresh_report(host, now); }, HostStanding::kUnlisted);
   }
   return m_heard_share;
 }
@@ -246,9 +246,18 @@
   }
   m_stopping = true;
   m_duty.release();
+  announce_stop(now);
   m_sessions.begin_stop(m_settings.stop_grace, now);
 }
 
+void SessionHost::announce_stop(TimePoint now) {
+  m_hosts.ring().set_self_stopping();
+  m_record.set_value(
+      encode_host_entry({m_settings.evidence_endpoint, m_settings.domain, m_settings.incarnation, true}));
+  m_next_report = now;
+  m_next_duty_report = now;
+}
+
 void SessionHost::on_store_era(StoreEra era, TimePoint now) {
   if (era < m_store_era) {
     m_counters.count("store_answers_of_former_eras");
@@ -399,7 +408,9 @@
     m_counters.count("reports_of_unknown_hosts");
     return;
   }
-  m_board.on_report(report, now);
+  if (m_board.on_report(report, now)) {
+    on_stop_reported(report.sender, report.stopping);
+  }
   note_duty_token(std::max(report.duty_token, report.newest_duty_token), now);
   const std::optional<TimePoint> sent_after = earliest_sending_time(report, now);
   for (const PrimaryEvidence& evidence : report.groups) {
@@ -420,6 +431,13 @@
   apply_revocations(report, now);
 }
 
+void SessionHost::on_stop_reported(const HostId& host, bool stopping) {
+  if (m_hosts.find(host)->stopping != stopping) {
+    m_hosts.on_report(host, stopping);
+    m_hosts_changed = true;
+  }
+}
+
 void SessionHost::on_quota_message(const QuotaMessage& message, TimePoint now) {
   if (!m_stopping) {
     m_quota.on_message(message, now);
@@ -546,6 +564,7 @@
   report.newest_duty_token = m_newest_duty_token;
   report.hears_duty_holder = token.has_value() || m_board.hears_duty_holder(kDutyHolderSilence, now);
   report.store_current = reaches_store(now);
+  report.stopping = m_stopping;
   return report;
 }
 
--- a/servers/session_host/session_host.h
+++ b/servers/session_host/session_host.h
@@ -188,6 +188,9 @@
   void send_report(const HostId& host, const Endpoint& endpoint, const EvidenceReport& report, TimePoint now);
   /// Removes hosts whose record disappeared long ago and updates the size of the fleet.
   void update_hosts(TimePoint now);
+  /// Tells the other hosts that this one no longer counts as a part of the fleet, at once and through its record.
+  void announce_stop(TimePoint now);
+  void on_stop_reported(const HostId& host, bool stopping);
   void log_readiness_change();
 
   SessionHostSettings m_settings;
--- /dev/null
+++ b/tests/servers/session_host/fleet_membership_test.cc
@@ -0,0 +1,193 @@
+// Which hosts count as the fleet after some have left for good, and after some have only been cut off.
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <set>
+#include <string>
+#include <vector>
+
+#include "servers/session_host/host_entry.h"
+#include "servers/session_host/session_host.h"
+#include "tests/model/session_world.h"
+#include "tests/servers/sessions/expect_no_violations.h"
+
+namespace teaselrudder {
+
+namespace {
+
+using model::SessionWorld;
+
+constexpr Duration kSecond = std::chrono::seconds(1);
+constexpr Duration kStopGap = std::chrono::milliseconds(1300);
+/// Time in which the hosts that are left have to serve after planned stops; a stop itself takes up to its grace period.
+constexpr Duration kServiceAfterStop = std::chrono::milliseconds(500);
+
+class FleetMembershipTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(FleetMembershipTest);
+  CPPUNIT_TEST(hosts_that_are_left_serve_while_most_others_are_stopped_for_good);
+  CPPUNIT_TEST(hosts_that_are_left_serve_after_four_stopped_at_once);
+  CPPUNIT_TEST(last_host_serves_alone_and_replaces_a_lost_primary);
+  CPPUNIT_TEST(stops_while_the_store_is_away_are_known_from_reports);
+  CPPUNIT_TEST(stops_of_hosts_that_are_not_heard_are_known_from_their_records);
+  CPPUNIT_TEST(restarted_fleet_does_not_count_hosts_that_were_stopped_before);
+  CPPUNIT_TEST(host_that_was_stopped_counts_again_after_its_restart);
+  CPPUNIT_TEST(entry_of_a_stopping_host_is_read_as_such);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Guards against removed hosts that count as a part of the fleet: two of six had no quorum for 36 s, so they granted
+  // no leases and served nothing.
+  void hosts_that_are_left_serve_while_most_others_are_stopped_for_good() {
+    SessionWorld world(6);
+    for (const std::size_t host : {0, 1, 2, 3}) {
+      world.stop_host(host);
+      expect_service(world, 4, kStopGap);
+      expect_service(world, 5, Duration(0));
+    }
+    // The stops end, and later the records of the stopped hosts expire.
+    expect_service(world, 4, 40 * kSecond);
+    expect_replacement(world, 5);
+    expect_no_violations(world);
+  }
+
+  // Guards against a fleet that survives stops only one after the other.
+  void hosts_that_are_left_serve_after_four_stopped_at_once() {
+    SessionWorld world(6);
+    for (const std::size_t host : {0, 1, 2, 3}) {
+      world.stop_host(host);
+    }
+    world.run_for(kServiceAfterStop);
+    expect_service(world, 4, 20 * kSecond);
+    expect_replacement(world, 5);
+    expect_no_violations(world);
+  }
+
+  // Guards against a last host that waits for reports of hosts that have left.
+  void last_host_serves_alone_and_replaces_a_lost_primary() {
+    SessionWorld world(3);
+    world.stop_host(0);
+    world.run_for(kStopGap);
+    world.stop_host(1);
+    world.run_for(kServiceAfterStop);
+    expect_service(world, 2, 20 * kSecond);
+    expect_replacement(world, 2);
+    expect_no_violations(world);
+  }
+
+  // Guards against stops that are announced only through the store.
+  void stops_while_the_store_is_away_are_known_from_reports() {
+    SessionWorld world(6);
+    world.store().down = true;
+    for (const std::size_t host : {0, 1, 2, 3}) {
+      world.stop_host(host);
+      world.run_for(kStopGap);
+    }
+    world.run_for(kSecond);
+    world.store().down = false;
+    world.run_for(2 * kSecond);
+    expect_service(world, 4, 20 * kSecond);
+    expect_replacement(world, 5);
+    expect_no_violations(world);
+  }
+
+  // Guards against stops that are announced only in reports, which are not acknowledged.
+  void stops_of_hosts_that_are_not_heard_are_known_from_their_records() {
+    SessionWorld world(6);
+    world.drops_reports = true;
+    for (const std::size_t host : {0, 1, 2, 3}) {
+      world.stop_host(host);
+    }
+    world.run_for(kSecond);
+    for (const std::size_t host : {0, 1, 2, 3}) {
+      world.kill_host(host);
+    }
+    world.drops_reports = false;
+    world.run_for(2 * kSecond);
+    expect_service(world, 4, kSecond);
+    expect_no_violations(world);
+  }
+
+  // Guards against new processes that count hosts that were removed before all processes were killed, because their
+  // records are still in the store.
+  void restarted_fleet_does_not_count_hosts_that_were_stopped_before() {
+    SessionWorld world(6);
+    for (const std::size_t host : {0, 1, 2, 3}) {
+      world.stop_host(host);
+      world.run_for(std::chrono::milliseconds(100));
+    }
+    for (std::size_t host = 0; host < 6; ++host) {
+      world.kill_host(host);
+    }
+    world.run_for(kSecond);
+    world.restart_host(4);
+    world.restart_host(5);
+    world.run_for(2 * kSecond);
+    expect_service(world, 4, kSecond);
+    expect_service(world, 5, 10 * kSecond);
+    expect_no_violations(world);
+  }
+
+  // Guards against a restarted host without a vote. One of two hosts that is cut off from the other must not act alone.
+  void host_that_was_stopped_counts_again_after_its_restart() {
+    SessionWorld world(5);
+    for (const std::size_t host : {0, 1, 2}) {
+      world.stop_host(host);
+    }
+    world.run_for(kSecond);
+    for (const std::size_t host : {0, 1, 2}) {
+      world.kill_host(host);
+      world.restart_host(host);
+    }
+    world.run_for(3 * kSecond);
+    world.isolate({0, 1, 2}, {});
+    world.run_for(2 * kSecond);
+    CPPUNIT_ASSERT_EQUAL_MESSAGE("two of five hosts act for the fleet", std::size_t{5}, world.duty_holder());
+    world.heal();
+    world.run_for(3 * kSecond);
+    CPPUNIT_ASSERT(world.duty_holder() < 5);
+    expect_no_violations(world);
+  }
+
+  // Guards against a stop that is lost or read as another incarnation on the way through the store.
+  void entry_of_a_stopping_host_is_read_as_such() {
+    const HostEntry running{{"10.1.0.2", 7440}, FailureDomainId("toledo dc"), 17, false};
+    HostEntry stopping = running;
+    stopping.stopping = true;
+    CPPUNIT_ASSERT(decode_host_entry(encode_host_entry(running)) == running);
+    CPPUNIT_ASSERT(decode_host_entry(encode_host_entry(stopping)) == stopping);
+    CPPUNIT_ASSERT(!decode_host_entry("10.1.0.2 7440 ! toledo").has_value());
+    CPPUNIT_ASSERT(!decode_host_entry("10.1.0.2 7440 17!! toledo").has_value());
+  }
+
+ private:
+  /// Sends a write and a read at `host`, again and again for `time`; each has to succeed.
+  static void expect_service(SessionWorld& world, std::size_t host, Duration time) {
+    const std::size_t caller = world.open_session(host, SessionWorld::kPrimaryReads);
+    const TimePoint end = world.events().now() + time;
+    do {
+      world.run_for(std::chrono::milliseconds(100));
+      for (const StatementKind kind : {StatementKind::kWrite, StatementKind::kRead}) {
+        const StatementReply reply = world.send_and_wait(caller, kind);
+        CPPUNIT_ASSERT_MESSAGE("a statement failed on host " + std::to_string(host), !reply.error.has_value());
+      }
+    } while (world.events().now() < end);
+  }
+
+  /// Crashes the primary; a write at `host` has to succeed within the bound of a failover.
+  static void expect_replacement(SessionWorld& world, std::size_t host) {
+    world.members().crash(world.members().primary(), false);
+    const TimePoint crashed_at = world.events().now();
+    bool served = false;
+    while (!served && world.events().now() < crashed_at + 7 * kSecond) {
+      const std::size_t caller = world.open_session(host, SessionWorld::kPrimaryReads);
+      world.run_for(std::chrono::milliseconds(50));
+      served = !world.send_and_wait(caller, StatementKind::kWrite).error.has_value();
+    }
+    CPPUNIT_ASSERT_MESSAGE("no write within 7 s of the loss of the primary", served);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(FleetMembershipTest);
+
+}  // namespace
+
+}  // namespace teaselrudder
--- a/tests/servers/session_host/report_ring_test.cc
+++ b/tests/servers/session_host/report_ring_test.cc
@@ -76,7 +76,9 @@
   void inactive_neighbours_get_reports_but_none_are_expected_from_them() {
     const FailureDomainId domain("d0");
     ReportRing ring(HostId("h0"), domain);
-    ring.set_hosts({{HostId("h1"), domain}, {HostId("h2"), domain}, {HostId("h3"), domain}}, {HostId("h1")});
+    ring.set_hosts({{HostId("h1"), {domain, HostStanding::kActive}},
+                    {HostId("h2"), {domain, HostStanding::kUnlisted}},
+                    {HostId("h3"), {domain, HostStanding::kUnlisted}}});
     CPPUNIT_ASSERT(ring.is_neighbour(HostId("h2")));
     CPPUNIT_ASSERT(!ring.expects_reports_from(HostId("h2")));
     CPPUNIT_ASSERT(!ring.reaches_minority([](const HostId& other) { return other == HostId("h1"); }));
@@ -92,14 +94,12 @@
     }
     std::map<HostId, ReportRing> rings;
     for (const HostId& host : hosts) {
-      std::set<HostId> active = hosts;
-      active.erase(host);
-      std::map<HostId, FailureDomainId> others;
-      for (const HostId& other : active) {
-        others.emplace(other, FailureDomainId(domain_of(other)));
+      std::map<HostId, RingHost> others;
+      for (const HostId& other : hosts) {
+        others[other] = {FailureDomainId(domain_of(other)), HostStanding::kActive};
       }
-      rings.emplace(host, ReportRing(host, FailureDomainId(domain_of(host))))
-          .first->second.set_hosts(others, std::move(active));
+      others.erase(host);
+      rings.emplace(host, ReportRing(host, FailureDomainId(domain_of(host)))).first->second.set_hosts(others);
     }
     return rings;
   }
