Let hosts serve after most others were lost without notice

What callers saw: after most machines were killed for good, nothing was served for 36 s on the others.

A host whose record has expired counted for 30 s more, because it may be cut off together with a holder of the failover duty that acts without the store for 20 s. Nothing bound that time to who had held the duty.

Change: a holder without the store acts for 20 s only if it hears the whole fleet, else for 7 s. A host that reaches the store therefore knows when no cut off holder can act any longer, and then counts only hosts with a record or with reports. As long as the others are half of the fleet or more, it grants leases on the present primaries and replaces none, since they may still serve.

Two guard the other side: parts of a split fleet never act at once, and a cut off minority replaces no primary.

--- a/servers/failover/failover_duty.cc
+++ b/servers/failover/failover_duty.cc
@@ -59,8 +59,7 @@
 }
 
 void FailoverDuty::on_tick(const std::map<GroupId, UpstreamGroup>& groups, const EvidenceBoard& board,
-                           std::optional<FencingToken> token, std::size_t fleet_size, bool members_current,
-                           TimePoint now) {
+                           std::optional<FencingToken> token, const FleetView& fleet, TimePoint now) {
   m_groups = &groups;
   m_first_tick = m_first_tick.value_or(now);
   m_now = now;
@@ -82,7 +81,7 @@
   for (const auto& [id, group] : groups) {
     GroupMonitor& monitor = monitor_of(id, *token, now);
     if (checks_all || is_changing(monitor)) {
-      check_group(group, monitor, board, {*token, fleet_size, members_current, checks_all}, now);
+      check_group(group, monitor, board, {*token, fleet, checks_all}, now);
     }
   }
   if (!checks_all) {
@@ -111,10 +110,11 @@
   const bool hosts_confirmed =
       monitor.revoked.has_value() && board.all_dropped_leases(group.id(), *monitor.revoked, monitor.revoked_at, now);
   monitor.replacement->on_tick(
-      group, {input.token, input.members_current, commits_end_at(monitor, now), hosts_confirmed, *m_duty_began}, now);
+      group, {input.token, input.fleet.members_current, commits_end_at(monitor, now), hosts_confirmed, *m_duty_began},
+      now);
   update_revocation(group, monitor, now);
   if (!monitor.replacement->is_running()) {
-    check_primary(group, monitor, board, input.fleet_size, now);
+    check_primary(group, monitor, board, input.fleet, now);
   }
   fence_orders(group, monitor, input.token, now);
   grant_lease(group, monitor, now);
@@ -310,7 +310,7 @@
 }
 
 void FailoverDuty::check_primary(const UpstreamGroup& group, GroupMonitor& monitor, const EvidenceBoard& board,
-                                 std::size_t fleet_size, TimePoint now) {
+                                 const FleetView& fleet, TimePoint now) {
   if (group.members().empty()) {
     return;
   }
@@ -319,7 +319,7 @@
     monitor.leaderless_since = now;
   }
   note_answers(group, monitor, now);
-  if (now < *m_first_tick + kStartupDelay) {
+  if (now < *m_first_tick + kStartupDelay || !fleet.may_replace_primaries) {
     return;
   }
   PrimaryReplacement& replacement = *monitor.replacement;
@@ -333,7 +333,7 @@
   } else if (monitor.stopped_replica) {
     monitor.stopped_replica = false;
     replacement.begin(ReplacementReason::kStoppedReplica, monitor.leader, now);
-  } else if (is_silent_for_majority(monitor.evidence, board, now) || is_lost(monitor, board, fleet_size, now)) {
+  } else if (is_silent_for_majority(monitor.evidence, board, now) || is_lost(monitor, board, fleet.fleet_size, now)) {
     replacement.begin(ReplacementReason::kSilent, monitor.leader, now);
   } else if (now >= monitor.primary_since + kCommitStallTimeout && is_stalled(monitor.evidence)) {
     replacement.begin(ReplacementReason::kStalledCommits, monitor.leader, now);
--- a/servers/failover/failover_duty.h
+++ b/servers/failover/failover_duty.h
@@ -50,6 +50,16 @@
   bool tokens_are_checked = true;
 };
 
+/// What the holder of the failover duty knows about the fleet and the store.
+struct FleetView {
+  /// The number of hosts.
+  std::size_t fleet_size = 1;
+  /// True if the store has recently confirmed the list of members.
+  bool members_current = false;
+  /// False if most hosts may be cut off and serve with the present primaries.
+  bool may_replace_primaries = true;
+};
+
 /// The failover duty, which one host of the fleet holds through a lease in the store: monitors the primaries of all
 /// groups, replaces those that are lost or leaving, announces new ones, and grants leases on reading at them.
 class FailoverDuty final : private PromotionEvents {
@@ -89,10 +99,9 @@
 
   FailoverDuty(FailoverServices services, std::shared_ptr<const StateChart> chart);
 
-  /// Checks the groups. `token` is the fencing token if this host holds the duty. `fleet_size` is the number of hosts.
-  /// `members_current` is true if the store has recently confirmed the list of members.
+  /// Checks the groups. `token` is the fencing token if this host holds the duty.
   void on_tick(const std::map<GroupId, UpstreamGroup>& groups, const EvidenceBoard& board,
-               std::optional<FencingToken> token, std::size_t fleet_size, bool members_current, TimePoint now);
+               std::optional<FencingToken> token, const FleetView& fleet, TimePoint now);
   TimePoint next_wakeup() const { return m_next_tick; }
 
   /// Returns the end of the lease on reading at the announced primary of `group`; nothing if none is granted.
@@ -138,8 +147,7 @@
   /// What the host tells the check of a group.
   struct GroupInput {
     FencingToken token;
-    std::size_t fleet_size = 0;
-    bool members_current = false;
+    FleetView fleet;
     /// True if all groups are being checked, so that the reports are summed up again.
     bool sums_up_reports = false;
   };
@@ -177,7 +185,7 @@
   static void note_role(GroupMonitor& monitor, const ControlOutcome& outcome);
   void send_step_down(const UpstreamGroup& group, GroupMonitor& monitor, TimePoint now);
   void check_primary(const UpstreamGroup& group, GroupMonitor& monitor, const EvidenceBoard& board,
-                     std::size_t fleet_size, TimePoint now);
+                     const FleetView& fleet, TimePoint now);
   /// Notes answers of the primary on this host's connections for callers' statements.
   static void note_answers(const UpstreamGroup& group, GroupMonitor& monitor, TimePoint now);
   /// Probes members that have not answered recently, in round-robin order of the groups, as far as the rate limit
--- a/servers/session_host/known_hosts.cc
+++ b/servers/session_host/known_hosts.cc
@@ -28,7 +28,34 @@
 
 void KnownHosts::on_report(const HostId& host, bool stopping) { m_hosts.at(host).stopping = stopping; }
 
-void KnownHosts::update(const std::vector<HostId>& reporting, TimePoint now) {
+void KnownHosts::on_duty_record(const std::optional<HostId>& holder, TimePoint now) {
+  note_duty_holder(now);
+  m_ring.set_duty_holder(holder);
+  note_duty_holder(now);
+}
+
+void KnownHosts::note_duty_holder(TimePoint now) {
+  const std::optional<HostId>& holder = m_ring.duty_holder();
+  if (holder.has_value() && *holder != m_self) {
+    m_held_duty_at[*holder] = now;
+  }
+}
+
+bool KnownHosts::may_be_led_elsewhere(const std::function<bool(const HostId&)>& is_heard, TimePoint now) const {
+  if (!m_listed_at.has_value() || now < *m_listed_at + kMaxDutyWithoutWholeFleet) {
+    return true;
+  }
+  return std::any_of(m_held_duty_at.begin(), m_held_duty_at.end(), [&](const auto& held) {
+    const Host* const host = find(held.first);
+    const bool stops = host != nullptr && host->stopping;
+    return !stops && !is_heard(held.first);
+  });
+}
+
+void KnownHosts::update(const std::vector<HostId>& reporting, const std::function<bool(const HostId&)>& is_heard,
+                        TimePoint now) {
+  note_duty_holder(now);
+  std::erase_if(m_held_duty_at, [now](const auto& held) { return held.second + kMaxDutyWithoutWholeFleet <= now; });
   const auto is_reporting = [&reporting](const HostId& host) {
     return std::binary_search(reporting.begin(), reporting.end(), host);
   };
@@ -37,21 +64,27 @@
     return host.unlisted_since.has_value() &&
            (*host.unlisted_since + kUnlistedHostRetention <= now || (host.stopping && !is_reporting(id)));
   });
+  const bool led_elsewhere = may_be_led_elsewhere(is_heard, now);
   std::map<HostId, RingHost> others;
+  m_has_powerless_hosts = false;
   m_fleet_size = 1;
   for (const auto& [id, host] : m_hosts) {
-    const HostStanding standing = standing_of(host, is_reporting(id));
+    const HostStanding standing = standing_of(host, is_reporting(id), led_elsewhere);
     others[id] = {host.domain, standing};
+    m_has_powerless_hosts = m_has_powerless_hosts || standing == HostStanding::kPowerless;
     m_fleet_size += standing == HostStanding::kActive || is_reporting(id) ? 1 : 0;
   }
   m_ring.set_hosts(others);
 }
 
-HostStanding KnownHosts::standing_of(const Host& host, bool is_reporting) const {
+HostStanding KnownHosts::standing_of(const Host& host, bool is_reporting, bool may_be_led_elsewhere) {
   if (host.stopping) {
     return HostStanding::kStopping;
   }
-  return !host.unlisted_since.has_value() || is_reporting ? HostStanding::kActive : HostStanding::kUnlisted;
+  if (!host.unlisted_since.has_value() || is_reporting) {
+    return HostStanding::kActive;
+  }
+  return may_be_led_elsewhere ? HostStanding::kUnlisted : HostStanding::kPowerless;
 }
 
 const KnownHosts::Host* KnownHosts::find(const HostId& host) const {
--- a/servers/session_host/known_hosts.h
+++ b/servers/session_host/known_hosts.h
@@ -2,6 +2,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -22,6 +23,10 @@
   /// learns from these reports that the network works again, before it can write its record again.
   static constexpr Duration kUnlistedHostRetention = std::chrono::seconds(30);
 
+  /// Time after the last renewal of its lease for which the holder of the failover duty acts while the store is
+  /// unreachable and it misses some host, which may then reach the store and take the duty.
+  static constexpr Duration kMaxDutyWithoutWholeFleet = std::chrono::seconds(7);
+
   struct Host {
     Endpoint endpoint;
     FailureDomainId domain;
@@ -35,7 +40,7 @@
 
   /// `counters` must outlive the object.
   KnownHosts(HostId self, FailureDomainId domain, Counters& counters)
-      : m_counters(counters), m_ring(std::move(self), std::move(domain)) {}
+      : m_self(self), m_counters(counters), m_ring(std::move(self), std::move(domain)) {}
 
   /// Notes that the record of another host has changed; `value` is nullopt if it was removed. Malformed records are
   /// counted and otherwise ignored.
@@ -44,9 +49,16 @@
   /// Notes whether the newest report of a known host says that it is stopping.
   void on_report(const HostId& host, bool stopping);
 
+  /// Notes which host has the record of the failover duty in the store; nullopt if there is no record.
+  void on_duty_record(const std::optional<HostId>& holder, TimePoint now);
+
+  /// Notes that all records in the store have been read.
+  void on_listed(TimePoint now) { m_listed_at = m_listed_at.value_or(now); }
+
   /// Forgets hosts whose record disappeared long ago, and those without a record that announced their stop before.
-  /// `reporting` contains the hosts that sent a report recently, in ascending order.
-  void update(const std::vector<HostId>& reporting, TimePoint now);
+  /// `reporting` contains the hosts that sent a report recently, in ascending order; `is_heard` tells whether the last
+  /// report of a host is fresh.
+  void update(const std::vector<HostId>& reporting, const std::function<bool(const HostId&)>& is_heard, TimePoint now);
 
   const std::map<HostId, Host>& all() const { return m_hosts; }
   /// Returns the host, or null if it is not known.
@@ -55,14 +67,28 @@
   /// those that are stopping, only the latter count.
   std::size_t fleet_size() const { return m_fleet_size; }
 
+  /// Returns true if some host has the standing kPowerless.
+  bool has_powerless_hosts() const { return m_has_powerless_hosts; }
+
   ReportRing& ring() { return m_ring; }
   const ReportRing& ring() const { return m_ring; }
 
  private:
-  HostStanding standing_of(const Host& host, bool is_reporting) const;
+  /// Notes that the present holder of the duty, if it is another host, may act on from now on.
+  void note_duty_holder(TimePoint now);
+  /// Returns true if a holder of the duty that is not heard may act on without the store. A process that has just
+  /// started does not know who held the duty before.
+  bool may_be_led_elsewhere(const std::function<bool(const HostId&)>& is_heard, TimePoint now) const;
+  static HostStanding standing_of(const Host& host, bool is_reporting, bool may_be_led_elsewhere);
 
+  HostId m_self;
   Counters& m_counters;
   std::map<HostId, Host> m_hosts;
+  /// When other hosts last had the record of the duty.
+  std::map<HostId, TimePoint> m_held_duty_at;
+  /// When this process first knew all records in the store.
+  std::optional<TimePoint> m_listed_at;
+  bool m_has_powerless_hosts = false;
   std::size_t m_fleet_size = 1;
   ReportRing m_ring;
 };
--- a/servers/session_host/report_ring.h
+++ b/servers/session_host/report_ring.h
@@ -18,7 +18,11 @@
 enum class HostStanding {
   /// The host is stopping, or has stopped, and has said so. It acts for the fleet no more and counts nowhere.
   kStopping,
-  /// It has no record in the store and sends no reports. It may be cut off.
+  /// It has no record in the store and sends no reports, and no holder of the failover duty can act where it is. It may
+  /// be cut off.
+  kPowerless,
+  /// It has no record in the store and sends no reports. It may be cut off together with a holder of the duty that acts
+  /// on without the store.
   kUnlisted,
   /// It has a record or sent a report recently.
   kActive,
--- a/servers/session_host/session_host.cc
+++ b/servers/session_host/session_host.cc
@@ -100,8 +100,8 @@
   update_duty(now);
   record_missing_leaders(now);
   m_leaders.on_tick(now);
-  m_failover.on_tick(m_sessions.executor().groups(), m_board, duty_token(now), m_hosts.fleet_size(), is_view_current,
-                     now);
+  m_failover.on_tick(m_sessions.executor().groups(), m_board, duty_token(now),
+                     {m_hosts.fleet_size(), is_view_current, heard_share_of_all(now) >= ReportRing::kHalf}, now);
   if (m_failover.take_token_rejected()) {
     m_duty.on_superseded(now);
   }
@@ -140,18 +140,20 @@
     return std::nullopt;
   }
   // A host in the minority is more likely to be cut off itself than the primaries that it cannot reach are to be lost.
-  const double share = heard_share(now);
-  if (share < ReportRing::kHalf) {
-    return std::nullopt;
-  }
-  // Without its lease the holder needs more than half, so that it shares a host with everyone who acts with a lease.
-  const bool may_act_without_store = share > ReportRing::kHalf && now < m_duty.renewed_at() + kMaxDutyWithoutStore;
-  if (!m_duty.is_renewed(now) && !(may_act_without_store && store_is_unreachable_for_all(now))) {
+  if (heard_share(now) < ReportRing::kHalf || (!m_duty.is_renewed(now) && !may_act_without_store(now))) {
     return std::nullopt;
   }
   return to_fencing_token(*version);
 }
 
+bool SessionHost::may_act_without_store(TimePoint now) const {
+  // Without its lease the holder needs more than half, so that it shares a host with everyone who acts with a lease
+  // while hosts that it misses still count there.
+  const double share = heard_share_of_all(now);
+  const Duration limit = share == 1 ? kMaxDutyWithoutStore : KnownHosts::kMaxDutyWithoutWholeFleet;
+  return share > ReportRing::kHalf && now < m_duty.renewed_at() + limit && store_is_unreachable_for_all(now);
+}
+
 bool SessionHost::reaches_store(TimePoint now) const {
   if (!m_record.held_version().has_value()) {
     // Nothing is renewed, so only the answers to the watch calls show that the store is reached.
@@ -181,18 +183,28 @@
   }
   return m_hosts.ring().reachable_share(
              [this, now](const HostId& host) { return m_board.has_report_within(host, kMaxCommitsWithoutQuorum, now); },
-             HostStanding::kUnlisted) > ReportRing::kHalf;
+             HostStanding::kPowerless) > ReportRing::kHalf;
 }
 
 double SessionHost::heard_share(TimePoint now) const {
   if (!m_heard_share_at.has_value() || now < *m_heard_share_at || now >= *m_heard_share_at + kHeardShareValidity) {
     m_heard_share_at = now;
-    m_heard_share = m_hosts.ring().reachable_share(
-        [this, now](const HostId& host) { return m_board.has_fresh_report(host, now); }, HostStanding::kUnlisted);
+    // Where a replaced primary may go on, hosts that are cut off could still use it or another one.
+    m_heard_share = reachable_share(
+        m_settings.promotion_tokens_are_checked ? HostStanding::kUnlisted : HostStanding::kPowerless, now);
   }
   return m_heard_share;
 }
 
+double SessionHost::heard_share_of_all(TimePoint now) const {
+  return m_hosts.has_powerless_hosts() ? reachable_share(HostStanding::kPowerless, now) : heard_share(now);
+}
+
+double SessionHost::reachable_share(HostStanding lowest, TimePoint now) const {
+  return m_hosts.ring().reachable_share([this, now](const HostId& host) { return m_board.has_fresh_report(host, now); },
+                                        lowest);
+}
+
 void SessionHost::update_duty(TimePoint now) {
   const bool has_quorum = heard_share(now) >= ReportRing::kHalf;
   log_quorum_change(has_quorum, now);
@@ -295,6 +307,7 @@
 }
 
 void SessionHost::on_store_listed(TimePoint now) {
+  m_hosts.on_listed(now);
   if (m_hosts_changed) {
     update_hosts(now);
   }
@@ -323,8 +336,8 @@
     m_duty.on_record(record, now);
     m_lease_requests_in_vain = 0;
     m_next_lease_request = std::min(m_next_lease_request, now + kLeaseRequestInterval);
-    m_hosts.ring().set_duty_holder(record.value.has_value() ? std::optional<HostId>(duty_holder(*record.value))
-                                                            : std::nullopt);
+    m_hosts.on_duty_record(record.value.has_value() ? std::optional<HostId>(duty_holder(*record.value)) : std::nullopt,
+                           now);
     return;
   }
   if (record.key.starts_with(LeaderRecords::kPrefix)) {
@@ -348,7 +361,8 @@
   m_hosts_changed = false;
   m_heard_share_at.reset();
   m_counters.count("host_list_updates");
-  m_hosts.update(m_board.known_hosts(now), now);
+  m_hosts.update(
+      m_board.known_hosts(now), [this, now](const HostId& host) { return m_board.has_fresh_report(host, now); }, now);
   m_view.set_fleet_size(m_hosts.fleet_size());
   m_quota.on_hosts_changed(now);
   m_sessions.executor().set_fleet_size(m_hosts.fleet_size());
--- a/servers/session_host/session_host.h
+++ b/servers/session_host/session_host.h
@@ -65,8 +65,7 @@
   static constexpr Duration kDutyTimeToLive = std::chrono::milliseconds(1600);
   static constexpr Duration kDutyRenewal = std::chrono::milliseconds(500);
   /// Time after the last renewal of its lease for which the holder of the duty acts while the store is unreachable for
-  /// every host that it hears. Shorter than KnownHosts::kUnlistedHostRetention: as long as another host counts this one
-  /// to the fleet, it cannot act without hearing a host that hears this one.
+  /// every host of the fleet, all of which it hears. KnownHosts::kMaxDutyWithoutWholeFleet applies if it misses one.
   static constexpr Duration kMaxDutyWithoutStore = std::chrono::seconds(20);
   /// Time without a quorum after which the holder gives the duty to others that may have one.
   static constexpr Duration kMaxDutyWithoutQuorum = std::chrono::seconds(2);
@@ -155,8 +154,15 @@
   /// recently, and none of these hosts hears a holder. One that acts hears half of the fleet, so a host in between
   /// would tell. A new one waits before its first order for longer than its reports take to get here.
   bool knows_that_nobody_holds_duty(TimePoint now) const;
-  /// Returns the share of the fleet that this host hears, hosts without a record included.
+  /// Returns the share of the fleet that this host hears, of those hosts that count for acting under the lease on the
+  /// duty.
   double heard_share(TimePoint now) const;
+  /// Returns the same share with powerless hosts included. As long as it is below one half, most hosts may be cut off
+  /// and serve with the present primaries, so none is replaced.
+  double heard_share_of_all(TimePoint now) const;
+  double reachable_share(HostStanding lowest, TimePoint now) const;
+  /// Returns true if this host, as the holder of the duty, may act on although its lease has not been renewed.
+  bool may_act_without_store(TimePoint now) const;
   /// Lets the duty be acquired only with a quorum and releases it if there has been none for a while.
   void update_duty(TimePoint now);
   /// Logs whether this host hears enough of the fleet for the failover duty, and which hosts count, when that changes.
--- a/tests/servers/failover/failover_duty_test.cc
+++ b/tests/servers/failover/failover_duty_test.cc
@@ -197,7 +197,7 @@
         report.sent_at_us = m_now.time_since_epoch().count();
         m_board->on_report(report, m_now);
       }
-      m_duty->on_tick(m_groups, *m_board, FencingToken(7), kHosts + 1, true, m_now);
+      m_duty->on_tick(m_groups, *m_board, FencingToken(7), {kHosts + 1, true}, m_now);
       m_members->answer_all(m_now);
       m_members->accept_orders(m_now);
     }
@@ -215,7 +215,7 @@
     }
     const TimePoint begin = m_now;
     for (; m_now < begin + std::chrono::seconds(2); m_now += kTick) {
-      m_duty->on_tick(m_groups, *m_board, FencingToken(7), 4, true, m_now);
+      m_duty->on_tick(m_groups, *m_board, FencingToken(7), {4, true}, m_now);
       m_members->answer_all(m_now);
     }
     const double most = FailoverDuty::kProbeBurst + 2 * FailoverDuty::kProbesPerSecond;
@@ -369,7 +369,7 @@
       if (!silent) {
         m_groups.at(kGroup).on_answer(MemberId("m0"), false, m_now);
       }
-      m_duty->on_tick(m_groups, *m_board, FencingToken(7), 4, members_current, m_now);
+      m_duty->on_tick(m_groups, *m_board, FencingToken(7), {4, members_current}, m_now);
       m_members->accept_orders(m_now);
     }
   }
--- a/tests/servers/session_host/fleet_membership_test.cc
+++ b/tests/servers/session_host/fleet_membership_test.cc
@@ -18,6 +18,8 @@
 
 constexpr Duration kSecond = std::chrono::seconds(1);
 constexpr Duration kStopGap = std::chrono::milliseconds(1300);
+/// Time in which the hosts that are left have to serve after others were lost without notice: the users' recover_s.
+constexpr Duration kServiceAfterLoss = std::chrono::seconds(12);
 /// Time in which the hosts that are left have to serve after planned stops; a stop itself takes up to its grace period.
 constexpr Duration kServiceAfterStop = std::chrono::milliseconds(500);
 
@@ -31,6 +33,11 @@
   CPPUNIT_TEST(restarted_fleet_does_not_count_hosts_that_were_stopped_before);
   CPPUNIT_TEST(host_that_was_stopped_counts_again_after_its_restart);
   CPPUNIT_TEST(entry_of_a_stopping_host_is_read_as_such);
+  CPPUNIT_TEST(hosts_that_are_left_serve_after_most_others_were_killed_for_good);
+  CPPUNIT_TEST(hosts_that_are_left_serve_after_the_duty_holder_and_most_others_were_killed_for_good);
+  CPPUNIT_TEST(restarted_hosts_serve_although_most_others_never_come_back);
+  CPPUNIT_TEST(parts_of_a_split_fleet_never_act_at_once);
+  CPPUNIT_TEST(cut_off_minority_with_the_store_replaces_no_primary);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -158,7 +165,113 @@
     CPPUNIT_ASSERT(!decode_host_entry("10.1.0.2 7440 17!! toledo").has_value());
   }
 
+  // Guards against hosts that were lost without notice and count as a part of the fleet for 36 s.
+  void hosts_that_are_left_serve_after_most_others_were_killed_for_good() {
+    SessionWorld world(6);
+    const std::size_t holder = world.duty_holder();
+    kill_all_except(world, {holder, (holder + 1) % 6});
+    world.run_for(kServiceAfterLoss);
+    expect_service(world, holder, 30 * kSecond);
+    expect_service(world, (holder + 1) % 6, kSecond);
+    expect_replacement(world, holder);
+    expect_no_violations(world);
+  }
+
+  // Guards against a lost holder of the duty that is taken for one that acts on somewhere else for ever.
+  void hosts_that_are_left_serve_after_the_duty_holder_and_most_others_were_killed_for_good() {
+    SessionWorld world(6);
+    const std::size_t left = (world.duty_holder() + 1) % 6;
+    kill_all_except(world, {left});
+    world.run_for(kServiceAfterLoss);
+    expect_service(world, left, 30 * kSecond);
+    expect_replacement(world, left);
+    expect_no_violations(world);
+  }
+
+  // Guards against new processes that wait for hosts that are in the store but lost for good.
+  void restarted_hosts_serve_although_most_others_never_come_back() {
+    SessionWorld world(6);
+    kill_all_except(world, {});
+    world.run_for(kSecond);
+    world.restart_host(2);
+    world.restart_host(3);
+    world.run_for(kServiceAfterLoss);
+    expect_service(world, 2, kSecond);
+    expect_service(world, 3, kSecond);
+    expect_no_violations(world);
+  }
+
+  // Guards against hosts that are only cut off and are taken for lost: both parts would act for the fleet. The store is
+  // reached by one part, by none, or by one after the other.
+  void parts_of_a_split_fleet_never_act_at_once() {
+    for (std::size_t size = 1; size < 5; ++size) {
+      for (const bool store_fails_first : {false, true}) {
+        for (const bool holder_is_cut_off : {false, true}) {
+          split(size, store_fails_first, holder_is_cut_off);
+        }
+      }
+    }
+  }
+
+  // Guards against a part of the fleet that replaces a primary which the other hosts, cut off from it and from the
+  // store, still use.
+  void cut_off_minority_with_the_store_replaces_no_primary() {
+    SessionWorld world(6);
+    const std::size_t holder = world.duty_holder();
+    std::set<std::size_t> cut_off;
+    for (std::size_t host = 0; host < 6; ++host) {
+      if (host != holder) {
+        cut_off.insert(host);
+      }
+    }
+    const std::size_t caller = world.open_session(*cut_off.begin(), SessionWorld::kPrimaryReads);
+    world.isolate(cut_off, {0, 1, 2});
+    for (int round = 0; round < 250; ++round) {
+      world.send_and_wait(caller, StatementKind::kWrite);
+      world.run_for(std::chrono::milliseconds(100));
+    }
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, world.members().promotions());
+    expect_no_violations(world);
+  }
+
  private:
+  static void kill_all_except(SessionWorld& world, const std::set<std::size_t>& left) {
+    for (std::size_t host = 0; host < 6; ++host) {
+      if (!left.contains(host)) {
+        world.kill_host(host);
+      }
+    }
+  }
+
+  /// Cuts `size` of six hosts off, with or without the holder of the duty, and lets the store fail for all for a while.
+  static void split(std::size_t size, bool store_fails_first, bool holder_is_cut_off) {
+    SessionWorld world(6);
+    const std::size_t holder = world.duty_holder();
+    std::set<std::size_t> cut_off;
+    for (std::size_t host = holder_is_cut_off ? holder : holder + 1; cut_off.size() < size; ++host) {
+      cut_off.insert(host % 6);
+    }
+    world.store().down = store_fails_first;
+    world.run_for(store_fails_first ? 3 * kSecond : Duration(0));
+    world.isolate(cut_off, {});
+    const TimePoint begin = world.events().now();
+    while (world.events().now() < begin + 45 * kSecond) {
+      world.store().down = store_fails_first && world.events().now() < begin + 5 * kSecond;
+      world.run_for(std::chrono::milliseconds(50));
+      std::size_t holders = 0;
+      for (std::size_t host = 0; host < 6; ++host) {
+        holders += world.holds_failover_duty(host) ? 1 : 0;
+      }
+      CPPUNIT_ASSERT_MESSAGE("two hosts act with " + std::to_string(size) + " cut off; the store " +
+                                 (store_fails_first ? "failed" : "ran"),
+                             holders <= 1);
+    }
+    world.heal();
+    world.store().down = false;
+    world.run_for(3 * kSecond);
+    CPPUNIT_ASSERT(world.duty_holder() < 6);
+  }
+
   /// Sends a write and a read at `host`, again and again for `time`; each has to succeed.
   static void expect_service(SessionWorld& world, std::size_t host, Duration time) {
     const std::size_t caller = world.open_session(host, SessionWorld::kPrimaryReads);
