Give the quotas of removed hosts to those that are left

What callers saw: after most hosts were removed as planned, accounts with a quota got a fraction of it for five minutes.

Each host pledges its equal part of a quota, and the parts are divided by the largest size of the fleet in the last five minutes, so that hosts that are cut off keep theirs. Hosts that had announced their stop and left kept theirs too.

Change: KnownHosts counts the hosts that announced their stop and of which neither record nor reports remain; the size of the fleet for quotas goes down by them at once. Hosts lost without notice keep their part as before, since they may use it.

Test: last_host_uses_the_whole_quota_after_the_others_were_removed.

--- a/servers/session_host/known_hosts.cc
+++ b/servers/session_host/known_hosts.cc
@@ -59,10 +59,11 @@
   const auto is_reporting = [&reporting](const HostId& host) {
     return std::binary_search(reporting.begin(), reporting.end(), host);
   };
-  std::erase_if(m_hosts, [&](const auto& known) {
-    const auto& [id, host] = known;
-    return host.unlisted_since.has_value() &&
-           (*host.unlisted_since + kUnlistedHostRetention <= now || (host.stopping && !is_reporting(id)));
+  m_departures += std::erase_if(m_hosts, [&](const auto& known) {
+    return known.second.unlisted_since.has_value() && known.second.stopping && !is_reporting(known.first);
+  });
+  std::erase_if(m_hosts, [now](const auto& known) {
+    return known.second.unlisted_since.has_value() && *known.second.unlisted_since + kUnlistedHostRetention <= now;
   });
   const bool led_elsewhere = may_be_led_elsewhere(is_heard, now);
   std::map<HostId, RingHost> others;
--- a/servers/session_host/known_hosts.h
+++ b/servers/session_host/known_hosts.h
@@ -67,6 +67,10 @@
   /// those that are stopping, only the latter count.
   std::size_t fleet_size() const { return m_fleet_size; }
 
+  /// Returns how many hosts have left for good or for a while: they announced their stop, and neither their records nor
+  /// their reports remain.
+  std::uint64_t departures() const { return m_departures; }
+
   /// Returns true if some host has the standing kPowerless.
   bool has_powerless_hosts() const { return m_has_powerless_hosts; }
 
@@ -88,6 +92,7 @@
   std::map<HostId, TimePoint> m_held_duty_at;
   /// When this process first knew all records in the store.
   std::optional<TimePoint> m_listed_at;
+  std::uint64_t m_departures = 0;
   bool m_has_powerless_hosts = false;
   std::size_t m_fleet_size = 1;
   ReportRing m_ring;
--- a/servers/session_host/quota_exchange.cc
+++ b/servers/session_host/quota_exchange.cc
@@ -26,12 +26,18 @@
     others.insert(id);
   }
   m_choice.set_hosts(others);
-  const std::size_t size = others.size() + 1;
-  if (size >= m_fleet_size || now >= m_fleet_size_at + kFleetSizeRetention) {
-    m_fleet_size = size;
+  update_fleet_size(others.size() + 1, now);
+}
+
+void QuotaExchange::update_fleet_size(std::size_t known_hosts, TimePoint now) {
+  const std::uint64_t departed = m_services.hosts.departures() - m_departures;
+  m_departures += departed;
+  m_fleet_size -= std::min<std::uint64_t>(departed, m_fleet_size);
+  if (known_hosts >= m_fleet_size || now >= m_fleet_size_at + kFleetSizeRetention) {
+    m_fleet_size = known_hosts;
     m_fleet_size_at = now;
-    m_allocator.set_fleet_size(size);
   }
+  m_allocator.set_fleet_size(m_fleet_size);
 }
 
 void QuotaExchange::on_message(const QuotaMessage& message, TimePoint now) {
--- a/servers/session_host/quota_exchange.h
+++ b/servers/session_host/quota_exchange.h
@@ -29,8 +29,8 @@
 /// chosen, and allocates tokens to the hosts that have chosen this one. Does nothing while no account has a quota.
 class QuotaExchange final : public QuotaRequestListener {
  public:
-  /// Time for which the largest known size of the fleet is kept. Hosts that are cut off for a while keep their part of
-  /// the quotas although their records are gone.
+  /// Time for which the largest known size of the fleet is kept, less the hosts that announced their stop and left.
+  /// Hosts that are cut off for a while keep their part of the quotas although their records are gone.
   static constexpr Duration kFleetSizeRetention = std::chrono::minutes(5);
   /// Time after this host has read the store for the first time from which on it takes part. Before, it may not know
   /// all hosts, and allocators may count pledges of its former process.
@@ -61,6 +61,7 @@
     TimePoint credited_at;
   };
 
+  void update_fleet_size(std::size_t known_hosts, TimePoint now);
   bool is_settled(TimePoint now) const { return m_settled_at.has_value() && now >= *m_settled_at; }
   void send_pledges(TimePoint now);
   /// Pledges this host's part of a shard to the present allocator, unless an earlier pledge to another one may still be
@@ -77,6 +78,8 @@
   std::optional<TimePoint> m_settled_at;
   std::size_t m_fleet_size = 1;
   TimePoint m_fleet_size_at;
+  /// The departures of hosts that m_fleet_size takes into account.
+  std::uint64_t m_departures = 0;
   std::array<Pledge, kQuotaShards> m_pledges;
   TimePoint m_next_pledges;
 };
--- a/tests/servers/sessions/session_account_test.cc
+++ b/tests/servers/sessions/session_account_test.cc
@@ -33,6 +33,7 @@
   CPPUNIT_TEST(lower_quota_takes_effect);
   CPPUNIT_TEST(quota_holds_when_allocators_are_lost);
   CPPUNIT_TEST(quota_holds_while_some_hosts_are_cut_off);
+  CPPUNIT_TEST(last_host_uses_the_whole_quota_after_the_others_were_removed);
   CPPUNIT_TEST(stopping_host_answers_operations_that_wait_for_tokens);
   CPPUNIT_TEST(checker_notices_operations_above_the_quota);
   CPPUNIT_TEST_SUITE_END();
@@ -200,6 +201,24 @@
     expect_no_violations(world);
   }
 
+  // Guards against removed hosts that keep their parts of a quota for minutes, so that accounts get a fraction of it.
+  void last_host_uses_the_whole_quota_after_the_others_were_removed() {
+    SessionWorld world(4, 1, with_accounts(AccountQuota{20, 20}));
+    world.run_for(3 * kSecond);
+    send_steadily(world, open_on_all(world, 4), 3 * kSecond);
+    for (const std::size_t host : {0, 1, 2}) {
+      world.stop_host(host);
+    }
+    // The stops take up to 6 s, and then the records of the hosts expire after 6 s.
+    world.run_for(13 * kSecond);
+    const std::vector<std::size_t> callers = {world.open_session(3, SessionWorld::kOwnReads, kFirst),
+                                              world.open_session(3, SessionWorld::kOwnReads, kFirst)};
+    const std::size_t before = world.operations_run(kFirst);
+    send_steadily(world, callers, 10 * kSecond);
+    CPPUNIT_ASSERT(world.operations_run(kFirst) - before >= 180);
+    expect_no_violations(world);
+  }
+
   // Guards against operations that end without an answer because their host stops while they wait for tokens.
   void stopping_host_answers_operations_that_wait_for_tokens() {
     SessionWorld world(3, 1, with_accounts(AccountQuota{1, 1}));
