Go on with planned replacements after most hosts were lost without notice

What callers would see: after most hosts were lost without notice, a primary that leaves, or one whose replicas a lost holder of the failover duty had stopped, is not replaced for 30 s, so commits are not acknowledged.

Only its own view that a primary is silent or stalls is in doubt then. A member that leaves, that has no entry in the store, or that denies that it leads, is no primary for the hosts that are missed either.

Change: FleetView::may_judge_silence in place of may_replace_primaries.

--- a/servers/failover/failover_duty.cc
+++ b/servers/failover/failover_duty.cc
@@ -319,7 +319,7 @@
     monitor.leaderless_since = now;
   }
   note_answers(group, monitor, now);
-  if (now < *m_first_tick + kStartupDelay || !fleet.may_replace_primaries) {
+  if (now < *m_first_tick + kStartupDelay) {
     return;
   }
   PrimaryReplacement& replacement = *monitor.replacement;
@@ -333,6 +333,8 @@
   } else if (monitor.stopped_replica) {
     monitor.stopped_replica = false;
     replacement.begin(ReplacementReason::kStoppedReplica, monitor.leader, now);
+  } else if (!fleet.may_judge_silence) {
+    return;
   } else if (is_silent_for_majority(monitor.evidence, board, now) || is_lost(monitor, board, fleet.fleet_size, now)) {
     replacement.begin(ReplacementReason::kSilent, monitor.leader, now);
   } else if (now >= monitor.primary_since + kCommitStallTimeout && is_stalled(monitor.evidence)) {
--- a/servers/failover/failover_duty.h
+++ b/servers/failover/failover_duty.h
@@ -56,8 +56,8 @@
   std::size_t fleet_size = 1;
   /// True if the store has recently confirmed the list of members.
   bool members_current = false;
-  /// False if most hosts may be cut off and serve with the present primaries.
-  bool may_replace_primaries = true;
+  /// False if most hosts may be cut off: a primary that does not answer here, or not to commits, may serve them.
+  bool may_judge_silence = true;
 };
 
 /// The failover duty, which one host of the fleet holds through a lease in the store: monitors the primaries of all
--- a/servers/session_host/session_host.h
+++ b/servers/session_host/session_host.h
@@ -158,7 +158,7 @@
   /// duty.
   double heard_share(TimePoint now) const;
   /// Returns the same share with powerless hosts included. As long as it is below one half, most hosts may be cut off
-  /// and serve with the present primaries, so none is replaced.
+  /// and serve with primaries that seem lost here.
   double heard_share_of_all(TimePoint now) const;
   double reachable_share(HostStanding lowest, TimePoint now) const;
   /// Returns true if this host, as the holder of the duty, may act on although its lease has not been renewed.
--- a/tests/servers/session_host/fleet_membership_test.cc
+++ b/tests/servers/session_host/fleet_membership_test.cc
@@ -35,6 +35,7 @@
   CPPUNIT_TEST(entry_of_a_stopping_host_is_read_as_such);
   CPPUNIT_TEST(hosts_that_are_left_serve_after_most_others_were_killed_for_good);
   CPPUNIT_TEST(hosts_that_are_left_serve_after_the_duty_holder_and_most_others_were_killed_for_good);
+  CPPUNIT_TEST(leaving_primary_is_replaced_after_most_hosts_were_killed_for_good);
   CPPUNIT_TEST(restarted_hosts_serve_although_most_others_never_come_back);
   CPPUNIT_TEST(parts_of_a_split_fleet_never_act_at_once);
   CPPUNIT_TEST(cut_off_minority_with_the_store_replaces_no_primary);
@@ -188,6 +189,22 @@
     expect_no_violations(world);
   }
 
+  // Guards against planned changes of members that wait until lost hosts are forgotten.
+  void leaving_primary_is_replaced_after_most_hosts_were_killed_for_good() {
+    SessionWorld world(6);
+    const std::size_t left = (world.duty_holder() + 1) % 6;
+    kill_all_except(world, {left});
+    world.run_for(kServiceAfterLoss);
+    const std::size_t primary = world.members().primary();
+    world.members().member(primary).entry.leaving = true;
+    world.publish_members();
+    const auto is_replaced = [&] { return world.members().primary() != primary; };
+    CPPUNIT_ASSERT(world.run_until(is_replaced, 7 * kSecond));
+    world.run_for(2 * kSecond);
+    expect_service(world, left, kSecond);
+    expect_no_violations(world);
+  }
+
   // Guards against new processes that wait for hosts that are in the store but lost for good.
   void restarted_hosts_serve_although_most_others_never_come_back() {
     SessionWorld world(6);
