Let a random run remove hosts for good, and judge service after it

Cause: no random run ended a host for good, so none found that hosts which have left count as a part of the fleet.

Change: HostEnds::kRemoved stops or kills hosts for good at any moment of a run, beside all other faults, until one of four is left. Within the users' 12 s after the faults a write has to be served, and all guarantees hold.

--- a/tests/servers/sessions/session_host_random_test.cc
+++ b/tests/servers/sessions/session_host_random_test.cc
@@ -58,6 +58,7 @@
 enum class HostEnds {
   kKilled,
   kStopped,  // Hosts are also stopped gracefully, under load.
+  kRemoved,  // Hosts are also stopped or killed for good, until one is left.
 };
 
 /// Whether the set of members changes.
@@ -252,6 +253,10 @@
       stop_host();
       return;
     }
+    if (m_options.host_ends == HostEnds::kRemoved && random_below(4) == 0) {
+      remove_host();
+      return;
+    }
     if (m_options.cuts == Cuts::kDomains && random_below(4) == 0) {
       change_cut();
       return;
@@ -520,8 +525,28 @@
     }
   }
 
+  void remove_host() {
+    const std::size_t host = random_below(kHosts);
+    if (m_removed_hosts.size() + 1 == kHosts || !m_removed_hosts.insert(host).second) {
+      return;
+    }
+    const bool planned = random_below(2) == 0;
+    m_world.add_to_trace("fault host " + std::to_string(host) + (planned ? " is stopped" : " is killed") + " for good");
+    if (!m_stopped_hosts.insert(host).second) {
+      return;
+    }
+    if (planned) {
+      m_world.stop_host(host);
+    } else {
+      m_world.kill_host(host);
+    }
+  }
+
   void kill_or_restart_host() {
     const std::size_t host = random_below(kHosts);
+    if (m_removed_hosts.contains(host)) {
+      return;
+    }
     const auto stop_ends_at = m_stop_ends_at.find(host);
     if (stop_ends_at != m_stop_ends_at.end() && m_world.events().now() <= stop_ends_at->second) {
       return;
@@ -535,6 +560,16 @@
     }
   }
 
+  void restart_hosts_that_come_back() {
+    std::erase_if(m_stopped_hosts, [this](std::size_t host) {
+      const bool comes_back = !m_removed_hosts.contains(host);
+      if (comes_back) {
+        m_world.restart_host(host);
+      }
+      return comes_back;
+    });
+  }
+
   void restart_members() {
     m_world.restart_members();
     m_world.run_for(std::chrono::milliseconds(300));
@@ -564,6 +599,9 @@
       member.refuses_setup = false;
       member.lag = std::chrono::milliseconds(8);
     }
+    if (m_options.host_ends == HostEnds::kRemoved) {
+      restart_hosts_that_come_back();
+    }
     m_world.store().down = false;
     m_world.store().lost_writes = 0;
     m_world.drops_reports = false;
@@ -577,6 +615,8 @@
   /// Callers and the numbers of the statements that they have sent to be prepared.
   std::set<std::pair<std::size_t, std::size_t>> m_prepared;
   std::set<std::size_t> m_stopped_hosts;
+  /// Those of m_stopped_hosts that never start again.
+  std::set<std::size_t> m_removed_hosts;
   /// When the last graceful stop of each host ends.
   std::map<std::size_t, TimePoint> m_stop_ends_at;
   int m_crashed_members = 0;
@@ -599,6 +639,7 @@
   CPPUNIT_TEST(primary_of_an_outdated_term_is_replaced_without_load);
   CPPUNIT_TEST(guarantees_hold_with_odd_texts_and_refused_setups);
   CPPUNIT_TEST(guarantees_hold_with_planned_stops);
+  CPPUNIT_TEST(guarantees_and_service_hold_with_removed_hosts);
   CPPUNIT_TEST(guarantees_hold_with_domains_cut_off_during_replacements);
   CPPUNIT_TEST(guarantees_hold_with_domains_cut_off_and_without_fences);
   CPPUNIT_TEST(no_acknowledged_commit_is_lost_when_members_change_around_a_lost_primary);
@@ -669,6 +710,14 @@
     }
   }
 
+  // Guards against hosts that count although they have left for good, with or without notice, beside all other faults:
+  // the hosts that are left then serve nothing. The recovery time is that of the users for a fleet that lost machines.
+  void guarantees_and_service_hold_with_removed_hosts() {
+    for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+      expect_no_violations(seed, {.host_ends = HostEnds::kRemoved});
+    }
+  }
+
   // Guards against authority that is given out on what is known on one side of a cut, while the other side goes on with
   // a newer primary.
   void guarantees_hold_with_domains_cut_off_during_replacements() {
