--- a/tests/soak/soak_main.cc
+++ b/tests/soak/soak_main.cc
@@ -16,6 +16,7 @@
             "a replaced primary goes on until it is told to step down, and outdated promotion tokens are accepted");
 DEFINE_bool(restored, false, "the platform's store may come back from an older copy");
 DEFINE_bool(odd, false, "statements of callers contain blanks where the line protocol allows them");
+DEFINE_bool(removing, false, "hosts are also stopped or killed for good, until one is left");
 DEFINE_string(folder, "",
               "folder for the settings and logs of the hosts; empty: a temporary folder, kept if the run fails");
 DEFINE_bool(print_faults, false, "print each fault");
@@ -45,6 +46,7 @@
     settings.fenced = !FLAGS_unfenced;
     settings.restores_store = FLAGS_restored;
     settings.odd_texts = FLAGS_odd;
+    settings.removes_hosts = FLAGS_removing;
     settings.program = (program_path.parent_path() / "teaselrudder-platform").string();
     settings.folder = folder.string();
     settings.prints_faults = FLAGS_print_faults;
--- a/tests/soak/soak_run.cc
+++ b/tests/soak/soak_run.cc
@@ -108,7 +108,7 @@
     }
     if (was_running && !host.is_running()) {
       m_restart_at[index] = m_events.now() + kRestartPause;
-    } else if (!host.is_running() && m_restart_at[index] <= m_events.now()) {
+    } else if (!host.is_running() && m_restart_at[index] <= m_events.now() && !m_removed_hosts.contains(index)) {
       host.start();
     }
   }
@@ -122,6 +122,9 @@
     }
     // Every second session of a caller goes to the next host.
     slot.host = (slot.host + slot.opened_sessions % 2) % m_hosts.size();
+    while (m_removed_hosts.contains(slot.host)) {
+      slot.host = (slot.host + 1) % m_hosts.size();
+    }
     ++slot.opened_sessions;
     const std::uint64_t seed = m_settings.seed * 1000003 + index * 1009 + slot.opened_sessions;
     const std::uint16_t port = m_hosts[slot.host]->ports().callers;
@@ -148,7 +151,7 @@
   }
   for (std::size_t index = 0; index < m_hosts.size(); ++index) {
     const std::uint64_t before = m_served_after_faults.empty() ? 0 : m_served_after_faults[index];
-    if (served[index] <= before) {
+    if (served[index] <= before && !m_removed_hosts.contains(index)) {
       return false;
     }
   }
@@ -241,9 +244,22 @@
   }
 }
 
+void SoakRun::remove_host(std::size_t index) {
+  if (m_removed_hosts.size() + 1 == m_hosts.size() || !m_removed_hosts.insert(index).second) {
+    return;
+  }
+  const bool planned = random_below(2) == 0;
+  begin_fault((planned ? "stop for good: " : "kill for good: ") + m_hosts[index]->name());
+  m_hosts[index]->signal(planned ? SIGTERM : SIGKILL);
+}
+
 void SoakRun::inject_host_fault() {
   const std::size_t index = random_host();
   const std::string name = m_hosts[index]->name();
+  if (m_settings.removes_hosts && random_below(2) == 0) {
+    remove_host(index);
+    return;
+  }
   switch (random_below(5)) {
     case 0:
       begin_fault("kill " + name);
--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <memory>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -26,6 +27,8 @@
   bool restores_store = false;
   /// Statements of callers contain texts that could be taken for several fields of a line.
   bool odd_texts = false;
+  /// Hosts are also stopped or killed for good, until one is left.
+  bool removes_hosts = false;
   /// Path of the executable that each host runs.
   std::string program;
   /// Existing folder for the settings and logs of the hosts.
@@ -71,6 +74,8 @@
 
   void inject_fault();
   void inject_host_fault();
+  /// Ends a host for good, with or without notice, unless it is the last one.
+  void remove_host(std::size_t index);
   void inject_member_fault();
   void inject_network_fault();
   void inject_platform_fault();
@@ -96,6 +101,7 @@
   std::unique_ptr<SoakNetwork> m_network;
   std::vector<std::unique_ptr<HostProcess>> m_hosts;
   std::vector<TimePoint> m_restart_at;
+  std::set<std::size_t> m_removed_hosts;
   std::vector<std::uint64_t> m_served_after_faults;
   std::vector<std::uint64_t> m_served_by_host;
   SoakCaller::Shared m_shared;
