--- a/servers/session_host/known_hosts.cc
+++ b/servers/session_host/known_hosts.cc
@@ -67,25 +67,25 @@
   });
   const bool led_elsewhere = may_be_led_elsewhere(is_heard, now);
   std::map<HostId, RingHost> others;
-  m_has_powerless_hosts = false;
+  m_has_expired_hosts = false;
   m_fleet_size = 1;
   for (const auto& [id, host] : m_hosts) {
-    const HostStanding standing = standing_of(host, is_reporting(id), led_elsewhere);
-    others[id] = {host.domain, standing};
-    m_has_powerless_hosts = m_has_powerless_hosts || standing == HostStanding::kPowerless;
-    m_fleet_size += standing == HostStanding::kActive || is_reporting(id) ? 1 : 0;
+    const HostMembership membership = membership_of(host, is_reporting(id), led_elsewhere);
+    others[id] = {host.domain, membership};
+    m_has_expired_hosts = m_has_expired_hosts || membership == HostMembership::kExpired;
+    m_fleet_size += membership == HostMembership::kActive || is_reporting(id) ? 1 : 0;
   }
   m_ring.set_hosts(others);
 }
 
-HostStanding KnownHosts::standing_of(const Host& host, bool is_reporting, bool may_be_led_elsewhere) {
+HostMembership KnownHosts::membership_of(const Host& host, bool is_reporting, bool may_be_led_elsewhere) {
   if (host.stopping) {
-    return HostStanding::kStopping;
+    return HostMembership::kLeaving;
   }
   if (!host.unlisted_since.has_value() || is_reporting) {
-    return HostStanding::kActive;
+    return HostMembership::kActive;
   }
-  return may_be_led_elsewhere ? HostStanding::kUnlisted : HostStanding::kPowerless;
+  return may_be_led_elsewhere ? HostMembership::kSuspect : HostMembership::kExpired;
 }
 
 const KnownHosts::Host* KnownHosts::find(const HostId& host) const {
--- a/servers/session_host/known_hosts.h
+++ b/servers/session_host/known_hosts.h
@@ -71,8 +71,8 @@
   /// their reports remain.
   std::uint64_t departures() const { return m_departures; }
 
-  /// Returns true if some host has the standing kPowerless.
-  bool has_powerless_hosts() const { return m_has_powerless_hosts; }
+  /// Returns true if some host has the membership kExpired.
+  bool has_expired_hosts() const { return m_has_expired_hosts; }
 
   ReportRing& ring() { return m_ring; }
   const ReportRing& ring() const { return m_ring; }
@@ -83,7 +83,7 @@
   /// Returns true if a holder of the duty that is not heard may act on without the store. A process that has just
   /// started does not know who held the duty before.
   bool may_be_led_elsewhere(const std::function<bool(const HostId&)>& is_heard, TimePoint now) const;
-  static HostStanding standing_of(const Host& host, bool is_reporting, bool may_be_led_elsewhere);
+  static HostMembership membership_of(const Host& host, bool is_reporting, bool may_be_led_elsewhere);
 
   HostId m_self;
   Counters& m_counters;
@@ -93,7 +93,7 @@
   /// When this process first knew all records in the store.
   std::optional<TimePoint> m_listed_at;
   std::uint64_t m_departures = 0;
-  bool m_has_powerless_hosts = false;
+  bool m_has_expired_hosts = false;
   std::size_t m_fleet_size = 1;
   ReportRing m_ring;
 };
--- a/servers/session_host/report_ring.cc
+++ b/servers/session_host/report_ring.cc
@@ -64,7 +64,7 @@
     if (added) {
       m_domains.emplace_back();
     }
-    add_other_host({host, index->second, other.standing});
+    add_other_host({host, index->second, other.membership});
   }
 }
 
@@ -84,10 +84,10 @@
 }
 
 void ReportRing::add_other_host(const OtherHost& other) {
-  for (std::size_t standing = 0; standing <= static_cast<std::size_t>(other.standing); ++standing) {
-    ++m_domains[other.domain][standing];
+  for (std::size_t membership = 0; membership <= static_cast<std::size_t>(other.membership); ++membership) {
+    ++m_domains[other.domain][membership];
   }
-  if (other.standing == HostStanding::kActive) {
+  if (other.membership == HostMembership::kActive) {
     m_active.insert(other.host);
   }
   m_other_hosts.push_back(other);
@@ -96,14 +96,15 @@
   }
 }
 
-double ReportRing::reachable_share(const std::function<bool(const HostId&)>& is_reachable, HostStanding lowest) const {
+double ReportRing::reachable_share(const std::function<bool(const HostId&)>& is_reachable,
+                                   HostMembership lowest) const {
   struct DomainSample {
     std::size_t expected = 0;
     std::size_t reachable = 0;
   };
   std::vector<DomainSample> samples(m_domains.size());
   for (const OtherHost& other : reporting_hosts()) {
-    if (other.standing < lowest) {
+    if (other.membership < lowest) {
       continue;
     }
     DomainSample& sample = samples[other.domain];
--- a/servers/session_host/report_ring.h
+++ b/servers/session_host/report_ring.h
@@ -15,15 +15,15 @@
 
 /// Whether a host counts as a part of the fleet; see docs/design/fleet-membership.md. Each one counts wherever those
 /// before it do.
-enum class HostStanding {
+enum class HostMembership {
   /// The host is stopping, or has stopped, and has said so. It acts for the fleet no more and counts nowhere.
-  kStopping,
+  kLeaving,
   /// It has no record in the store and sends no reports, and no holder of the failover duty can act where it is. It may
   /// be cut off.
-  kPowerless,
+  kExpired,
   /// It has no record in the store and sends no reports. It may be cut off together with a holder of the duty that acts
   /// on without the store.
-  kUnlisted,
+  kSuspect,
   /// It has a record or sent a report recently.
   kActive,
 };
@@ -31,7 +31,7 @@
 /// A host as the others on the ring see it.
 struct RingHost {
   FailureDomainId domain;
-  HostStanding standing = HostStanding::kActive;
+  HostMembership membership = HostMembership::kActive;
 };
 
 /// Determines which hosts exchange reports. In a small fleet all hosts do. In a large one each host exchanges them with
@@ -68,26 +68,26 @@
   /// estimated from its expected hosts and weighted with the number of all its hosts. A host whose neighbours happen to
   /// be mostly in its own failure domain thus still notices that the other domains are unreachable.
   bool reaches_minority(const std::function<bool(const HostId&)>& is_reachable) const {
-    return reachable_share(is_reachable, HostStanding::kActive) < kHalf;
+    return reachable_share(is_reachable, HostMembership::kActive) < kHalf;
   }
 
-  /// Returns the share of the fleet that this host reaches, counting the hosts of `lowest` standing and above. A host
+  /// Returns the share of the fleet that this host reaches, counting the hosts of `lowest` membership and above. A host
   /// that the store turns away loses its record and may still serve on the other side of a partition, so the right to
   /// act for the fleet depends on a share that includes such hosts. The share is 1 if nobody counts.
-  double reachable_share(const std::function<bool(const HostId&)>& is_reachable, HostStanding lowest) const;
+  double reachable_share(const std::function<bool(const HostId&)>& is_reachable, HostMembership lowest) const;
 
   /// Returns true if this host or `other` holds the failover duty, so that they exchange reports for it.
   bool exchanges_duty_reports(const HostId& other) const { return holds_duty() || m_holder == other; }
 
  private:
-  static constexpr std::size_t kStandings = static_cast<std::size_t>(HostStanding::kActive) + 1;
-  /// The number of hosts of one failure domain, without this host, that have each standing or a higher one.
-  using Domain = std::array<std::size_t, kStandings>;
+  static constexpr std::size_t kStates = static_cast<std::size_t>(HostMembership::kActive) + 1;
+  /// The number of hosts of one failure domain, without this host, that have each membership or a higher one.
+  using Domain = std::array<std::size_t, kStates>;
   /// Another host with the index of its failure domain in m_domains.
   struct OtherHost {
     HostId host;
     std::size_t domain = 0;
-    HostStanding standing = HostStanding::kActive;
+    HostMembership membership = HostMembership::kActive;
   };
 
   std::set<HostId> choose_neighbours(const std::map<HostId, RingHost>& others) const;
--- a/servers/session_host/session_host.cc
+++ b/servers/session_host/session_host.cc
@@ -183,7 +183,7 @@
   }
   return m_hosts.ring().reachable_share(
              [this, now](const HostId& host) { return m_board.has_report_within(host, kMaxCommitsWithoutQuorum, now); },
-             HostStanding::kPowerless) > ReportRing::kHalf;
+             HostMembership::kExpired) > ReportRing::kHalf;
 }
 
 double SessionHost::heard_share(TimePoint now) const {
@@ -191,16 +191,16 @@
     m_heard_share_at = now;
     // Where a replaced primary may go on, hosts that are cut off could still use it or another one.
     m_heard_share = reachable_share(
-        m_settings.promotion_tokens_are_checked ? HostStanding::kUnlisted : HostStanding::kPowerless, now);
+        m_settings.promotion_tokens_are_checked ? HostMembership::kSuspect : HostMembership::kExpired, now);
   }
   return m_heard_share;
 }
 
 double SessionHost::heard_share_of_all(TimePoint now) const {
-  return m_hosts.has_powerless_hosts() ? reachable_share(HostStanding::kPowerless, now) : heard_share(now);
+  return m_hosts.has_expired_hosts() ? reachable_share(HostMembership::kExpired, now) : heard_share(now);
 }
 
-double SessionHost::reachable_share(HostStanding lowest, TimePoint now) const {
+double SessionHost::reachable_share(HostMembership lowest, TimePoint now) const {
   return m_hosts.ring().reachable_share([this, now](const HostId& host) { return m_board.has_fresh_report(host, now); },
                                         lowest);
 }
--- a/servers/session_host/session_host.h
+++ b/servers/session_host/session_host.h
@@ -157,10 +157,10 @@
   /// Returns the share of the fleet that this host hears, of those hosts that count for acting under the lease on the
   /// duty.
   double heard_share(TimePoint now) const;
-  /// Returns the same share with powerless hosts included. As long as it is below one half, most hosts may be cut off
+  /// Returns the same share with expired hosts included. As long as it is below one half, most hosts may be cut off
   /// and serve with primaries that seem lost here.
   double heard_share_of_all(TimePoint now) const;
-  double reachable_share(HostStanding lowest, TimePoint now) const;
+  double reachable_share(HostMembership lowest, TimePoint now) const;
   /// Returns true if this host, as the holder of the duty, may act on although its lease has not been renewed.
   bool may_act_without_store(TimePoint now) const;
   /// Lets the duty be acquired only with a quorum and releases it if there has been none for a while.
--- a/tests/servers/catalogue/leased_record_test.cc
+++ b/tests/servers/catalogue/leased_record_test.cc
@@ -47,6 +47,7 @@
   CPPUNIT_TEST(lease_of_a_lost_era_is_never_ended);
   CPPUNIT_TEST(unconfirmed_lease_is_not_ended_by_a_stop);
   CPPUNIT_TEST(record_of_the_copy_is_held_on_under_its_lease_only);
+  CPPUNIT_TEST(changed_value_is_written_until_the_store_has_it);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -102,6 +103,31 @@
     }
   }
 
+  // Guards against a host that announces its stop once, in a call that the store loses, and against one that gives its
+  // record up because the store contains its new value.
+  void changed_value_is_written_until_the_store_has_it() {
+    const std::string changed = kValue + "!";
+    acquire(LeaseId(7));
+    const std::size_t before = m_store->writes.size();
+    m_record->set_value(changed);
+    m_record->on_tick(true, at(0));
+    CPPUNIT_ASSERT_EQUAL(before + 1, m_store->writes.size());
+    m_record->on_coordination_result(
+        m_store->writes.back(), tl::unexpected(CoordinationError{CoordinationErrorKind::kTimeout, "no answer"}), at(1));
+    // The first tick renews the lease.
+    m_record->on_tick(true, at(2));
+    m_record->on_tick(true, at(2));
+    CPPUNIT_ASSERT_EQUAL(before + 2, m_store->writes.size());
+    m_record->on_record({kKey, changed, StoreRevision(31), LeaseId(7)}, at(2));
+    CPPUNIT_ASSERT((m_record->held_version() == RecordVersion{StoreEra(1), StoreRevision(31)}));
+    m_record->on_coordination_result(
+        m_store->writes.back(), tl::unexpected(CoordinationError{CoordinationErrorKind::kConflict, "changed"}), at(2));
+    m_record->on_tick(true, at(4));
+    m_record->on_tick(true, at(4));
+    CPPUNIT_ASSERT_EQUAL(before + 2, m_store->writes.size());
+    CPPUNIT_ASSERT(m_record->held_version().has_value());
+  }
+
   void setUp() override {
     m_store.emplace();
     m_record.emplace(kKey, kValue, RecordPolicy::kOnlyIfAbsent, LeasedRecord::Timings{2 * kSecond, kSecond}, *m_store,
--- a/tests/servers/session_host/report_ring_test.cc
+++ b/tests/servers/session_host/report_ring_test.cc
@@ -76,9 +76,9 @@
   void inactive_neighbours_get_reports_but_none_are_expected_from_them() {
     const FailureDomainId domain("d0");
     ReportRing ring(HostId("h0"), domain);
-    ring.set_hosts({{HostId("h1"), {domain, HostStanding::kActive}},
-                    {HostId("h2"), {domain, HostStanding::kUnlisted}},
-                    {HostId("h3"), {domain, HostStanding::kUnlisted}}});
+    ring.set_hosts({{HostId("h1"), {domain, HostMembership::kActive}},
+                    {HostId("h2"), {domain, HostMembership::kSuspect}},
+                    {HostId("h3"), {domain, HostMembership::kSuspect}}});
     CPPUNIT_ASSERT(ring.is_neighbour(HostId("h2")));
     CPPUNIT_ASSERT(!ring.expects_reports_from(HostId("h2")));
     CPPUNIT_ASSERT(!ring.reaches_minority([](const HostId& other) { return other == HostId("h1"); }));
@@ -96,7 +96,7 @@
     for (const HostId& host : hosts) {
       std::map<HostId, RingHost> others;
       for (const HostId& other : hosts) {
-        others[other] = {FailureDomainId(domain_of(other)), HostStanding::kActive};
+        others[other] = {FailureDomainId(domain_of(other)), HostMembership::kActive};
       }
       others.erase(host);
       rings.emplace(host, ReportRing(host, FailureDomainId(domain_of(host)))).first->second.set_hosts(others);
