Wait for former holders also after the store was out of reach

What callers could see: two hosts act for the fleet for about a second. A part of the fleet reaches the store again, has to list it, and the other part has just lost it, with a holder of the duty that the first part never knew of.

Change: the wait begins anew with each listing, and when the store answers again after an outage.

Test: part_that_regains_the_store_waits_for_a_holder_it_never_knew failed before ("two hosts act: the store is back after 20 tenths").

--- a/servers/session_host/known_hosts.cc
+++ b/servers/session_host/known_hosts.cc
@@ -42,7 +42,7 @@
 }
 
 bool KnownHosts::may_be_led_elsewhere(const std::function<bool(const HostId&)>& is_heard, TimePoint now) const {
-  if (!m_listed_at.has_value() || now < *m_listed_at + kMaxDutyWithoutWholeFleet) {
+  if (!m_store_read_at.has_value() || now < *m_store_read_at + kMaxDutyWithoutWholeFleet) {
     return true;
   }
   return std::any_of(m_held_duty_at.begin(), m_held_duty_at.end(), [&](const auto& held) {
--- a/servers/session_host/known_hosts.h
+++ b/servers/session_host/known_hosts.h
@@ -52,8 +52,8 @@
   /// Notes which host has the record of the failover duty in the store; nullopt if there is no record.
   void on_duty_record(const std::optional<HostId>& holder, TimePoint now);
 
-  /// Notes that all records in the store have been read.
-  void on_listed(TimePoint now) { m_listed_at = m_listed_at.value_or(now); }
+  /// Notes that the store has been listed, or answers again after an outage. Who held the duty before is not known.
+  void on_store_read(TimePoint now) { m_store_read_at = now; }
 
   /// Forgets hosts whose record disappeared long ago, and those without a record that announced their stop before.
   /// `reporting` contains the hosts that sent a report recently, in ascending order; `is_heard` tells whether the last
@@ -80,8 +80,8 @@
  private:
   /// Notes that the present holder of the duty, if it is another host, may act on from now on.
   void note_duty_holder(TimePoint now);
-  /// Returns true if a holder of the duty that is not heard may act on without the store. A process that has just
-  /// started does not know who held the duty before.
+  /// Returns true if a holder of the duty that is not heard may act on without the store. A process that has only just
+  /// begun to follow the store does not know who held the duty before.
   bool may_be_led_elsewhere(const std::function<bool(const HostId&)>& is_heard, TimePoint now) const;
   static HostMembership membership_of(const Host& host, bool is_reporting, bool may_be_led_elsewhere);
 
@@ -90,8 +90,8 @@
   std::map<HostId, Host> m_hosts;
   /// When other hosts last had the record of the duty.
   std::map<HostId, TimePoint> m_held_duty_at;
-  /// When this process first knew all records in the store.
-  std::optional<TimePoint> m_listed_at;
+  /// When this process last began to follow the store; nothing if it has not listed it yet.
+  std::optional<TimePoint> m_store_read_at;
   std::uint64_t m_departures = 0;
   bool m_has_expired_hosts = false;
   std::size_t m_fleet_size = 1;
--- a/servers/session_host/session_host.cc
+++ b/servers/session_host/session_host.cc
@@ -300,6 +300,7 @@
 }
 
 void SessionHost::on_store_regained(TimePoint now) {
+  m_hosts.on_store_read(now);
   if (!duty_token(now).has_value()) {
     m_duty.delay_acquisition(kStoreReturnNotice, now);
   }
@@ -307,7 +308,7 @@
 }
 
 void SessionHost::on_store_listed(TimePoint now) {
-  m_hosts.on_listed(now);
+  m_hosts.on_store_read(now);
   if (m_hosts_changed) {
     update_hosts(now);
   }
--- a/tests/servers/session_host/fleet_membership_test.cc
+++ b/tests/servers/session_host/fleet_membership_test.cc
@@ -38,6 +38,7 @@
   CPPUNIT_TEST(leaving_primary_is_replaced_after_most_hosts_were_killed_for_good);
   CPPUNIT_TEST(restarted_hosts_serve_although_most_others_never_come_back);
   CPPUNIT_TEST(parts_of_a_split_fleet_never_act_at_once);
+  CPPUNIT_TEST(part_that_regains_the_store_waits_for_a_holder_it_never_knew);
   CPPUNIT_TEST(cut_off_minority_with_the_store_replaces_no_primary);
   CPPUNIT_TEST_SUITE_END();
 
@@ -230,6 +231,30 @@
     }
   }
 
+  // Guards against a part of the fleet that reaches the store again when the other part has just lost it, and counts
+  // without that part although its holder, of which this part never knew, acts on without the store.
+  void part_that_regains_the_store_waits_for_a_holder_it_never_knew() {
+    for (int tenths = 20; tenths < 80; tenths += 5) {
+      SessionWorld world(6);
+      const std::size_t first = world.duty_holder();
+      const std::vector<std::size_t> minority = {first, (first + 1) % 6};
+      std::vector<std::size_t> majority;
+      for (std::size_t step = 2; step < 6; ++step) {
+        majority.push_back((first + step) % 6);
+      }
+      world.store().unreachable_hosts = minority;
+      world.run_for(4 * kSecond);
+      CPPUNIT_ASSERT(world.duty_holder() != first);
+      world.isolate({minority.begin(), minority.end()}, {});
+      world.store().unreachable_hosts = {0, 1, 2, 3, 4, 5};
+      expect_at_most_one_holder(world, tenths * std::chrono::milliseconds(100), "before the store is back");
+      // The part has to list the store, so it does not read who held the duty meanwhile.
+      world.store().drop_history();
+      world.store().unreachable_hosts = majority;
+      expect_at_most_one_holder(world, 20 * kSecond, "the store is back after " + std::to_string(tenths) + " tenths");
+    }
+  }
+
   // Guards against a part of the fleet that replaces a primary which the other hosts, cut off from it and from the
   // store, still use.
   void cut_off_minority_with_the_store_replaces_no_primary() {
@@ -260,6 +285,17 @@
     }
   }
 
+  static void expect_at_most_one_holder(SessionWorld& world, Duration time, const std::string& text) {
+    for (const TimePoint end = world.events().now() + time; world.events().now() < end;) {
+      world.run_for(std::chrono::milliseconds(50));
+      std::size_t holders = 0;
+      for (std::size_t host = 0; host < 6; ++host) {
+        holders += world.holds_failover_duty(host) ? 1 : 0;
+      }
+      CPPUNIT_ASSERT_MESSAGE("two hosts act: " + text, holders <= 1);
+    }
+  }
+
   /// Cuts `size` of six hosts off, with or without the holder of the duty, and lets the store fail for all for a while.
   static void split(std::size_t size, bool store_fails_first, bool holder_is_cut_off) {
     SessionWorld world(6);
@@ -271,20 +307,12 @@
     world.store().down = store_fails_first;
     world.run_for(store_fails_first ? 3 * kSecond : Duration(0));
     world.isolate(cut_off, {});
-    const TimePoint begin = world.events().now();
-    while (world.events().now() < begin + 45 * kSecond) {
-      world.store().down = store_fails_first && world.events().now() < begin + 5 * kSecond;
-      world.run_for(std::chrono::milliseconds(50));
-      std::size_t holders = 0;
-      for (std::size_t host = 0; host < 6; ++host) {
-        holders += world.holds_failover_duty(host) ? 1 : 0;
-      }
-      CPPUNIT_ASSERT_MESSAGE("two hosts act with " + std::to_string(size) + " cut off; the store " +
-                                 (store_fails_first ? "failed" : "ran"),
-                             holders <= 1);
-    }
-    world.heal();
+    const std::string text =
+        std::to_string(size) + " cut off; the store " + (store_fails_first ? "failed before" : "ran");
+    expect_at_most_one_holder(world, 5 * kSecond, text);
     world.store().down = false;
+    expect_at_most_one_holder(world, 40 * kSecond, text);
+    world.heal();
     world.run_for(3 * kSecond);
     CPPUNIT_ASSERT(world.duty_holder() < 6);
   }
