--- a/servers/failover/failover_duty.cc
+++ b/servers/failover/failover_duty.cc
@@ -333,12 +333,17 @@
   } else if (monitor.stopped_replica) {
     monitor.stopped_replica = false;
     replacement.begin(ReplacementReason::kStoppedReplica, monitor.leader, now);
-  } else if (!fleet.may_judge_silence) {
-    return;
-  } else if (is_silent_for_majority(monitor.evidence, board, now) || is_lost(monitor, board, fleet.fleet_size, now)) {
-    replacement.begin(ReplacementReason::kSilent, monitor.leader, now);
+  } else if (fleet.may_judge_silence) {
+    check_silence(monitor, board, fleet.fleet_size, now);
+  }
+}
+
+void FailoverDuty::check_silence(GroupMonitor& monitor, const EvidenceBoard& board, std::size_t fleet_size,
+                                 TimePoint now) {
+  if (is_silent_for_majority(monitor.evidence, board, now) || is_lost(monitor, board, fleet_size, now)) {
+    monitor.replacement->begin(ReplacementReason::kSilent, monitor.leader, now);
   } else if (now >= monitor.primary_since + kCommitStallTimeout && is_stalled(monitor.evidence)) {
-    replacement.begin(ReplacementReason::kStalledCommits, monitor.leader, now);
+    monitor.replacement->begin(ReplacementReason::kStalledCommits, monitor.leader, now);
   }
 }
 
--- a/servers/failover/failover_duty.h
+++ b/servers/failover/failover_duty.h
@@ -186,6 +186,8 @@
   void send_step_down(const UpstreamGroup& group, GroupMonitor& monitor, TimePoint now);
   void check_primary(const UpstreamGroup& group, GroupMonitor& monitor, const EvidenceBoard& board,
                      const FleetView& fleet, TimePoint now);
+  /// Replaces a primary that does not answer, or whose commits stall.
+  static void check_silence(GroupMonitor& monitor, const EvidenceBoard& board, std::size_t fleet_size, TimePoint now);
   /// Notes answers of the primary on this host's connections for callers' statements.
   static void note_answers(const UpstreamGroup& group, GroupMonitor& monitor, TimePoint now);
   /// Probes members that have not answered recently, in round-robin order of the groups, as far as the rate limit
